fix(relay): take a signed refusal without proof as an unknown outcome

Cause: a worker's own 408, 429 or 503 with its seal, but without the header that states that nothing ran, was passed on unchanged. Callers send a request again after these statuses, also one that must run once. Found by reading the code. Change: the gate takes such an answer as an unknown outcome, which callers get as 502 without the worker's seal. 421 stays a proof by itself. Conclusion: the new relay test got 503 before and gets 502 now.

--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -241,6 +241,9 @@
   }
 }
 
+// Callers send a request again after these, also one that must not run twice.
+const NOT_RUN_STATUSES = new Set([408, 429, 503]);
+
 function toGateResult(result: ExchangeResult): GateResult {
   if (result.kind !== 'response') {
     return {verdict: result.kind, reason: result.reason, retryAfterMs: 0};
@@ -254,6 +257,10 @@
     // An unsigned response cannot be attributed to the worker.
     return {verdict: 'unknown', reason: 'unsealed', retryAfterMs: 0};
   }
+  if (!isRejected && NOT_RUN_STATUSES.has(result.status)) {
+    // Callers take these statuses as a promise that the worker did not make.
+    return {verdict: 'unknown', reason: 'unprovenRefusal', retryAfterMs: 0};
+  }
   return {
     verdict: isRejected ? 'rejected' : 'answered',
     reason: String(result.status),
--- a/daemon/relay/test/relay.test.ts
+++ b/daemon/relay/test/relay.test.ts
@@ -136,6 +136,19 @@
     });
   });
 
+  it('guards against a signed refusal that does not state that nothing ran', async () => {
+    const overloaded: Reaction = seen => {
+      seen.response.writeHead(503, {[wireHeaders.workerSeal]: 'seal'});
+      seen.response.end('overloaded');
+    };
+    await withMesh([overloaded], async mesh => {
+      const result = await mesh.call('/buy/1', {method: 'POST', body: 'b'});
+      expect(result.status).to.equal(502);
+      expect(result.headers[wireHeaders.workerSeal]).to.equal(undefined);
+      expect(runsOf(mesh.workers)).to.equal(1);
+    });
+  });
+
   it('delivers the failure of a worker unchanged', async () => {
     const fail: Reaction = seen => {
       seen.response.writeHead(500, {[wireHeaders.workerSeal]: 'seal'});
