feat(follower): follow the readers of a data centre instead of the store

Change: the two relays of a data centre with a wide link and the lowest addresses read the store; the others follow both over their control address and get changed routes and entries only. A relay that hears from no reader within 2 s reads the store itself. Also: probes and pools of VMs whose worker has left end (a relay probed each of them every 300 ms for good), and revisions of removed workers are forgotten after a minute.

--- a/calls/exchange/src/connection_pool.ts
+++ b/calls/exchange/src/connection_pool.ts
@@ -53,6 +53,11 @@
     return {result, cancel: () => connection.cancel(request)};
   }
 
+  /** Whether no connection is open, not even one under way. */
+  get isEmpty(): boolean {
+    return this.#open.size === 0;
+  }
+
   /** Closes idle connections whose time is up. */
   closeExpired(): void {
     const nowMs = this.#options.clock.monotonicMs();
--- a/calls/relay/src/peer_health.ts
+++ b/calls/relay/src/peer_health.ts
@@ -9,10 +9,13 @@
   clock: Clock;
   /** Port of other relays. */
   port: number;
-  /** Called when a VM is found down or up again. */
-  onChange: (vmAddress: string, isDown: boolean) => void;
+  /** Called for each change; `left` ends the probes of a VM that was down. */
+  onChange: (vmAddress: string, change: PeerChange) => void;
 }
 
+/** What became known of a VM. */
+export type PeerChange = 'down' | 'up' | 'left';
+
 /** VMs that cannot be reached now; each is probed until it accepts again. */
 export class PeerHealth {
   readonly #options: PeerHealthOptions;
@@ -33,23 +36,32 @@
       return;
     }
     this.#down.set(vmAddress, undefined);
-    this.#options.onChange(vmAddress, true);
+    this.#options.onChange(vmAddress, 'down');
     this.#probe(vmAddress);
   }
 
-  /** Stops probing a VM that is gone for good. */
-  forget(vmAddress: string): void {
-    this.#down.get(vmAddress)?.cancel();
-    this.#down.delete(vmAddress);
+  /** Stops probing VMs that no longer have a worker. */
+  retain(vmAddresses: ReadonlySet<string>): void {
+    for (const vmAddress of [...this.#down.keys()]) {
+      if (!vmAddresses.has(vmAddress)) {
+        this.#stopProbing(vmAddress);
+        this.#options.onChange(vmAddress, 'left');
+      }
+    }
   }
 
   close(): void {
     this.#isClosed = true;
     for (const vmAddress of [...this.#down.keys()]) {
-      this.forget(vmAddress);
+      this.#stopProbing(vmAddress);
     }
   }
 
+  #stopProbing(vmAddress: string): void {
+    this.#down.get(vmAddress)?.cancel();
+    this.#down.delete(vmAddress);
+  }
+
   #probe(vmAddress: string): void {
     const socket = net.connect({host: vmAddress, port: this.#options.port});
     const end = (isUp: boolean) => {
@@ -73,7 +85,7 @@
     }
     if (isUp) {
       this.#down.delete(vmAddress);
-      this.#options.onChange(vmAddress, false);
+      this.#options.onChange(vmAddress, 'up');
       return;
     }
     this.#down.set(
--- a/calls/relay/src/peer_pools.ts
+++ b/calls/relay/src/peer_pools.ts
@@ -34,21 +34,24 @@
     return pool;
   }
 
-  /** Closes the connections to a VM that is gone. */
-  forget(vmAddress: string): void {
-    this.#byVm.get(vmAddress)?.close();
-    this.#byVm.delete(vmAddress);
+  /** VMs to which connections are kept. */
+  get size(): number {
+    return this.#byVm.size;
   }
 
   closeExpired(): void {
-    for (const pool of this.#byVm.values()) {
+    for (const [vmAddress, pool] of this.#byVm) {
       pool.closeExpired();
+      if (pool.isEmpty) {
+        this.#byVm.delete(vmAddress);
+      }
     }
   }
 
   close(): void {
-    for (const vmAddress of [...this.#byVm.keys()]) {
-      this.forget(vmAddress);
+    for (const pool of this.#byVm.values()) {
+      pool.close();
     }
+    this.#byVm.clear();
   }
 }
--- /dev/null
+++ b/calls/relay/test/peer_health.test.ts
@@ -0,0 +1,60 @@
+import {PeerHealth} from '@carobseam/calls.relay';
+import {SystemClock} from '@carobseam/core.clock';
+import {expect} from 'chai';
+import net from 'node:net';
+
+const VM = '127.0.0.61';
+const SETTLE_MS = 450; // one probe and the pause after it
+
+/** Health of peers on a port on which nobody listens, and what it reports. */
+async function createHealth() {
+  const listener = net.createServer();
+  await new Promise<void>(resolve => {
+    listener.listen(0, VM, resolve);
+  });
+  const {port} = listener.address() as net.AddressInfo;
+  await new Promise(resolve => listener.close(resolve));
+  const changes: string[] = [];
+  const health = new PeerHealth({
+    clock: new SystemClock(),
+    port,
+    onChange: (vmAddress, change) => changes.push(`${vmAddress} ${change}`),
+  });
+  return {health, changes, port};
+}
+
+const settle = () => new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+
+describe('PeerHealth', () => {
+  it('guards against probes of a VM that has left for good', async () => {
+    const {health, changes, port} = await createHealth();
+    health.failed(VM);
+    health.retain(new Set([VM]));
+    expect(health.isDown(VM)).to.equal(true);
+    health.retain(new Set());
+    expect(health.isDown(VM)).to.equal(false);
+    const probes: net.Socket[] = [];
+    const listener = net.createServer(socket => probes.push(socket));
+    await new Promise<void>(resolve => {
+      listener.listen(port, VM, resolve);
+    });
+    await settle();
+    expect(probes).to.deep.equal([]);
+    expect(changes).to.deep.equal([`${VM} down`, `${VM} left`]);
+    health.close();
+    listener.close();
+  });
+
+  it('takes a VM back once it accepts a connection', async () => {
+    const {health, changes, port} = await createHealth();
+    health.failed(VM);
+    const listener = net.createServer(socket => socket.destroy());
+    await new Promise<void>(resolve => {
+      listener.listen(port, VM, resolve);
+    });
+    await settle();
+    expect(changes).to.deep.equal([`${VM} down`, `${VM} up`]);
+    health.close();
+    listener.close();
+  });
+});
--- a/config/mesh/src/index.ts
+++ b/config/mesh/src/index.ts
@@ -1,3 +1,4 @@
+export * from './config_delta.js';
 export * from './mesh_config.js';
 export * from './mesh_source.js';
 export * from './mesh_state.js';
--- a/config/mesh/src/mesh_state.ts
+++ b/config/mesh/src/mesh_state.ts
@@ -1,8 +1,16 @@
 import type {Clock, ServiceName} from '@carobseam/core.types';
+import {
+  applyConfigDelta,
+  diffConfigs,
+  type ConfigDelta,
+} from './config_delta.js';
 import type {MeshConfig} from './mesh_config.js';
 import type {MeshWorker, SourceRevision, WorkerId} from './mesh_worker.js';
 import {RouteTable} from './route_table.js';
 
+const MAX_RECENT_CONFIGS = 4; // changes of a second, as fast as the users' operators make them
+const REMOVED_TTL_MS = 60_000; // several times the history that the users' store keeps
+
 /** One change of a worker's entry; `worker` is absent when it was removed. */
 export interface WorkerChange {
   id: WorkerId;
@@ -20,6 +28,20 @@
 /** Everything that a source held at one revision. */
 export type MeshSnapshot = MeshChanges;
 
+/** What changed since a peer last asked. */
+export interface MeshUpdate {
+  /** Place in the sender's own order of changes. */
+  sequence: number;
+  /** Every change of the source up to this revision is part of the state. */
+  revision: SourceRevision;
+  /** Present when the receiver's version is unknown to the sender. */
+  config?: MeshConfig;
+  configDelta?: ConfigDelta;
+  workers: readonly WorkerChange[];
+  /** Whether `workers` names every worker. */
+  isWhole: boolean;
+}
+
 /** Options of `MeshState`. */
 export interface MeshStateOptions {
   clock: Clock;
@@ -41,6 +63,10 @@
 interface WorkerSlot {
   revision: SourceRevision;
   worker?: MeshWorker;
+  /** Place in this process' own order of changes. */
+  sequence: number;
+  /** When the entry was removed, on the monotonic clock, in ms. */
+  removedMs?: number;
 }
 
 /**
@@ -52,6 +78,9 @@
   readonly #slots = new Map<WorkerId, WorkerSlot>();
   readonly #heldRemovals = new Map<WorkerId, SourceRevision>();
   #revision = 0 as SourceRevision;
+  #sequence = 0;
+  #recentConfigs: MeshConfig[] = [];
+  #lastDelta?: ConfigDelta;
   #config?: MeshConfig;
   #routes?: RouteTable;
   #byService = new Map<ServiceName, MeshWorker[]>();
@@ -66,6 +95,11 @@
     return this.#revision;
   }
 
+  /** Grows with each change of the configuration or of a worker. */
+  get sequence(): number {
+    return this.#sequence;
+  }
+
   get config(): MeshConfig | undefined {
     return this.#config;
   }
@@ -130,22 +164,90 @@
     this.applyChanges(snapshot);
   }
 
-  /** The state in the form that peers exchange. */
-  toSnapshot(): MeshSnapshot {
+  /**
+   * What a peer lacks.
+   *
+   * @param sequence place up to which the peer follows this state; undefined
+   *     when it did not follow it before.
+   * @param version configuration that the peer has; 0 for none.
+   */
+  updateSince(sequence: number | undefined, version: number): MeshUpdate {
+    const isWhole = sequence === undefined;
+    const workers: WorkerChange[] = [];
+    for (const [id, slot] of this.#slots) {
+      if (isWhole ? slot.worker : slot.sequence > sequence) {
+        workers.push({id, revision: slot.revision, worker: slot.worker});
+      }
+    }
     return {
-      revision: this.#revision,
-      config: this.#config,
-      workers: [...this.#slots]
-        .filter(([, slot]) => slot.worker)
-        .map(([id, slot]) => ({id, ...slot})),
+      sequence: this.#sequence,
+      revision: this.#settledRevision(),
+      ...this.#configSince(version),
+      workers,
+      isWhole,
     };
   }
 
+  /**
+   * Applies what a peer has sent.
+   *
+   * @return false when its configuration does not fit the one that is here.
+   */
+  applyUpdate(update: MeshUpdate): boolean {
+    const {configDelta, isWhole, workers} = update;
+    const isNewer = (configDelta?.to ?? 0) > (this.#config?.version ?? 0);
+    const patched =
+      isNewer && this.#config
+        ? applyConfigDelta(this.#config, configDelta!)
+        : undefined;
+    const isFitting = !isNewer || patched !== undefined;
+    // A revision that is only partly applied must be read again.
+    const revision = isFitting ? update.revision : this.#revision;
+    const changes = {revision, config: update.config ?? patched, workers};
+    if (isWhole) {
+      this.applySnapshot(changes);
+    } else {
+      this.applyChanges(changes);
+    }
+    return isFitting;
+  }
+
+  #configSince(version: number): Pick<MeshUpdate, 'config' | 'configDelta'> {
+    const config = this.#config;
+    if (!config || config.version <= version) {
+      return {};
+    }
+    const known = this.#recentConfigs.find(
+      recent => recent.version === version,
+    );
+    if (!known) {
+      return {config};
+    }
+    if (
+      this.#lastDelta?.from !== version ||
+      this.#lastDelta.to !== config.version
+    ) {
+      this.#lastDelta = diffConfigs(known, config);
+    }
+    return {configDelta: this.#lastDelta};
+  }
+
+  /** Removals that are held back are not part of the state yet. */
+  #settledRevision(): SourceRevision {
+    const held = Math.min(...this.#heldRemovals.values());
+    return Math.min(this.#revision, held - 1) as SourceRevision;
+  }
+
   #applyConfig(config: MeshConfig | undefined): void {
     if (!config || config.version <= (this.#config?.version ?? 0)) {
       return;
     }
     this.#config = config;
+    this.#recentConfigs.push(config);
+    if (this.#recentConfigs.length > MAX_RECENT_CONFIGS) {
+      this.#recentConfigs.shift();
+    }
+    this.#sequence++;
     this.#routes = new RouteTable(config);
     this.#options.onChange?.({kind: 'config', version: config.version});
   }
@@ -166,10 +268,10 @@
 
   #setSlot(change: WorkerChange): void {
     const wasKnown = this.#slots.get(change.id)?.worker !== undefined;
-    this.#slots.set(change.id, {
-      revision: change.revision,
-      worker: change.worker,
-    });
+    const {revision, worker} = change;
+    const removedMs = worker ? undefined : this.#options.clock.monotonicMs();
+    const sequence = ++this.#sequence;
+    this.#slots.set(change.id, {revision, worker, sequence, removedMs});
     if (change.worker) {
       this.#options.onChange?.({kind: 'worker', worker: change.worker});
     } else if (wasKnown) {
@@ -196,6 +298,7 @@
     if (revision > this.#revision) {
       this.#revision = revision;
     }
+    this.#forgetOldRemovals();
     this.#byAddress = new Map();
     for (const worker of this.workers()) {
       const other = this.#byAddress.get(worker.address);
@@ -216,6 +319,15 @@
     this.#options.onApplied?.();
   }
 
+  #forgetOldRemovals(): void {
+    const oldestMs = this.#options.clock.monotonicMs() - REMOVED_TTL_MS;
+    for (const [id, {removedMs = Infinity}] of this.#slots) {
+      if (removedMs < oldestMs) {
+        this.#slots.delete(id);
+      }
+    }
+  }
+
   /** The entry of a worker that crashed stays until it lapses. */
   #isNewer(a: MeshWorker, b: MeshWorker): boolean {
     if (a.bornMs !== b.bornMs) {
--- a/config/mesh/test/mesh_state.test.ts
+++ b/config/mesh/test/mesh_state.test.ts
@@ -1,6 +1,9 @@
 import {
   MeshState,
+  type MeshChanges,
   type MeshStateChange,
+  type MeshUpdate,
+  type RouteName,
   type SourceRevision,
   type WorkerId,
 } from '@carobseam/config.mesh';
@@ -11,6 +14,7 @@
   createConfig,
   createPut,
   createRemoval,
+  createRoute,
   createWorker,
 } from './mesh_fixtures.js';
 
@@ -32,6 +36,9 @@
   return {clock, state, changes, apply, ids};
 }
 
+const overWire = (update: MeshUpdate) =>
+  JSON.parse(JSON.stringify(update)) as MeshUpdate;
+
 describe('MeshState', () => {
   it('guards against a return to an older version', () => {
     const {state} = createState();
@@ -98,16 +105,134 @@
     expect(ids()).to.deep.equal([]);
   });
 
+  it('forgets a removed worker after a while', () => {
+    const {clock, apply, state} = createState();
+    apply(1, createPut(createWorker(), 1));
+    apply(2, createRemoval('i-1' as WorkerId, 2));
+    expect(state.isGone('i-1' as WorkerId)).to.equal(true);
+    clock.advance(61_000);
+    apply(3);
+    expect(state.isGone('i-1' as WorkerId)).to.equal(false);
+  });
+
   it('gives its state in a form that another one takes whole', () => {
     const {state, apply} = createState();
     apply(9, createPut(createWorker(), 8));
     const other = createState();
-    other.state.applySnapshot(
-      JSON.parse(JSON.stringify(state.toSnapshot())) as ReturnType<
-        MeshState['toSnapshot']
-      >,
-    );
+    other.state.applyUpdate(overWire(state.updateSince(undefined, 0)));
     expect(other.ids()).to.deep.equal(['i-1']);
     expect(other.state.revision).to.equal(9);
   });
+
+  describe('updates between peers', () => {
+    const configOf = (version: number, ...prefixes: string[]) =>
+      createConfig(
+        version,
+        prefixes.map(prefix =>
+          createRoute({
+            name: `r${prefix}` as RouteName,
+            pathPrefix: `/${prefix}/`,
+          }),
+        ),
+      );
+
+    /** A state and a peer that follows it. */
+    function createPair() {
+      const [ahead, behind] = [createState(), createState()];
+      let sequence: number | undefined;
+      const put = (revision: number, changes: Partial<MeshChanges>) =>
+        ahead.state.applyChanges({
+          revision: revision as SourceRevision,
+          workers: [],
+          ...changes,
+        });
+      const sync = () => {
+        const version = behind.state.config?.version ?? 0;
+        const update = overWire(ahead.state.updateSince(sequence, version));
+        sequence = update.sequence;
+        return {update, isFitting: behind.state.applyUpdate(update)};
+      };
+      return {ahead, behind, put, sync};
+    }
+
+    it('carries only the routes that changed', () => {
+      const {behind, put, sync} = createPair();
+      put(1, {config: configOf(1, 'a', 'b', 'c')});
+      expect(sync().update.config?.routes).to.have.length(3);
+      put(2, {config: configOf(2, 'a', 'c', 'd')});
+      const {update} = sync();
+      expect(update.config).to.equal(undefined);
+      expect(update.configDelta?.changedRoutes).to.have.length(1);
+      expect(update.configDelta?.removedRoutes).to.deep.equal(['rb']);
+      expect(behind.state.config).to.deep.equal(configOf(2, 'a', 'c', 'd'));
+      const found = (path: string) =>
+        behind.state.routes?.find('hints.example', path)?.name;
+      expect([found('/b/1'), found('/d/1')]).to.deep.equal([undefined, 'rd']);
+    });
+
+    it('carries the configuration whole to a peer that is far behind', () => {
+      const {put, sync} = createPair();
+      put(1, {config: configOf(1, 'a')});
+      sync();
+      for (let version = 2; version < 9; version++) {
+        put(version, {config: configOf(version, 'a', `v${version}`)});
+      }
+      const {update, isFitting} = sync();
+      expect(update.config?.version).to.equal(8);
+      expect(isFitting).to.equal(true);
+    });
+
+    it('guards against a delta on another version than its own', () => {
+      const {ahead, behind, put} = createPair();
+      put(1, {config: configOf(1, 'a')});
+      put(3, {config: configOf(3, 'a', 'b')});
+      behind.state.applyChanges({
+        revision: 2 as SourceRevision,
+        config: configOf(2, 'a', 'x'),
+        workers: [],
+      });
+      const update = overWire(ahead.state.updateSince(0, 1));
+      expect(behind.state.applyUpdate(update)).to.equal(false);
+      expect(behind.state.config?.version).to.equal(2);
+      expect(behind.state.revision, 'to be read again').to.equal(2);
+    });
+
+    it('guards against a delta that leaves routes out', () => {
+      const {ahead, behind, put} = createPair();
+      put(1, {config: configOf(1, 'a')});
+      put(2, {config: configOf(2, 'a', 'b')});
+      const update = overWire(ahead.state.updateSince(0, 1));
+      behind.state.applyChanges({
+        revision: 1 as SourceRevision,
+        config: configOf(1, 'other', 'x'),
+        workers: [],
+      });
+      expect(behind.state.applyUpdate(update)).to.equal(false);
+      expect(behind.state.config?.version).to.equal(1);
+    });
+
+    it('carries removals to a peer that follows', () => {
+      const {behind, put, sync} = createPair();
+      put(1, {workers: [createPut(createWorker(), 1)]});
+      sync();
+      expect(behind.ids()).to.deep.equal(['i-1']);
+      put(2, {workers: [createRemoval('i-1' as WorkerId, 2)]});
+      expect(sync().update.workers).to.have.length(1);
+      expect(behind.ids()).to.deep.equal([]);
+    });
+
+    it('guards against a removal that is held here and missed there', () => {
+      const {ahead, behind, put, sync} = createPair();
+      put(1, {workers: [createPut(createWorker(), 1)]});
+      sync();
+      ahead.state.sourceReturned();
+      put(5, {workers: [createRemoval('i-1' as WorkerId, 4)]});
+      sync();
+      expect(behind.state.revision, 'below the held removal').to.equal(3);
+      ahead.clock.advance(2500);
+      sync();
+      expect(behind.ids()).to.deep.equal([]);
+      expect(behind.state.revision).to.equal(5);
+    });
+  });
 });
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -6,6 +6,7 @@
   PeerHealth,
   PeerPools,
   WorkerGate,
+  type PeerChange,
 } from '@carobseam/calls.relay';
 import {RepeatBudgets} from '@carobseam/calls.retries';
 import {
@@ -17,9 +18,12 @@
 import type {Metrics} from '@carobseam/core.metrics';
 import type {Clock, RandomSource, Timer} from '@carobseam/core.types';
 import {
-  fetchPeerState,
-  PEER_STATE_PATH,
+  FEED_PATH,
+  FeedClient,
+  parseFeedRequest,
+  ReaderLinks,
   SourceFollower,
+  StateFeed,
 } from '@carobseam/fleet.follower';
 import type {RelaySettings} from '@carobseam/platform.adapter';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
@@ -27,6 +31,7 @@
 import {listen} from './listen.js';
 import {RequestRecorder} from './request_recorder.js';
 
+const READER_LINK_MBPS = 20; // a large configuration reaches 20 relays within a second
 const REMOVAL_GRACE_MS = 2200; // entries of living workers are back within about 2 s
 const WORKER_CONNECT_TIMEOUT_MS = 500; // the worker is on the same VM
 const WORKER_IDLE_TTL_MS = 4000; // workers of the users' sheets close idle ones after 10 s
@@ -41,6 +46,12 @@
 const LEAVE_CHECK_MS = 20; // how late an idle relay notices that it may end
 const HOUSEKEEPING_MS = 1000; // idle connections outlive their time by no more
 
+const VM_EVENTS: Record<PeerChange, string> = {
+  down: 'vm_lost',
+  up: 'vm_regained',
+  left: 'vm_left',
+};
+
 /** Options of `Relay`. */
 export interface RelayOptions {
   settings: RelaySettings;
@@ -59,6 +70,9 @@
   readonly #peers: PeerHealth;
   readonly #pools: PeerPools;
   readonly #gate: WorkerGate;
+  readonly #feed: StateFeed;
+  readonly #feedClient = new FeedClient();
+  readonly #readers: ReaderLinks;
   readonly #follower: SourceFollower;
   readonly #outbound: OutboundHandler;
   readonly #inbound: InboundHandler;
@@ -81,16 +95,16 @@
       clock,
       removalGraceMs: REMOVAL_GRACE_MS,
       onChange: change => this.#stateChanged(change),
-      onApplied: () =>
-        this.#gate.workerChanged(this.#state.workerAt(settings.workerAddress)),
+      onApplied: () => this.#stateApplied(),
     });
+    this.#feed = new StateFeed({clock, random, state: this.#state});
     this.#loads = new WorkerLoads(clock);
     const inboundPort = Number(settings.inboundAddress.split(':')[1]);
     this.#pools = new PeerPools(clock, inboundPort);
     this.#peers = new PeerHealth({
       clock,
       port: inboundPort,
-      onChange: (vmAddress, isDown) => this.#vmChanged(vmAddress, isDown),
+      onChange: (vmAddress, change) => this.#vmChanged(vmAddress, change),
     });
     this.#gate = new WorkerGate({
       clock,
@@ -103,6 +117,16 @@
       onConnection: () =>
         metrics.increment('carobseam_relay_worker_connections_total'),
     });
+    const fetchFeed = this.#feedClient.fetch.bind(this.#feedClient);
+    this.#readers = new ReaderLinks({
+      clock,
+      state: this.#state,
+      logger: log.logger,
+      fetchFeed,
+      canRead: settings.linkMbps >= READER_LINK_MBPS,
+      ownAddress: settings.controlAddress,
+      peerAddresses: () => this.#neighbourAddresses(),
+    });
     this.#follower = new SourceFollower({
       clock,
       random,
@@ -110,7 +134,9 @@
       state: this.#state,
       logger: log.logger,
       peerAddresses: () => this.#peerAddresses(),
-      fetchPeerState,
+      fetchFeed,
+      readers: this.#readers,
+      onContact: () => this.#feed.contacted(),
       onCall: outcome =>
         metrics.increment('carobseam_relay_store_calls_total', {outcome}),
     });
@@ -151,11 +177,12 @@
   async start(): Promise<void> {
     const {settings} = this.#options;
     void this.#follower.run();
+    this.#readers.start();
     const handlers: Array<
       [string, (q: IncomingMessage, s: ServerResponse) => void]
     > = [
       [settings.readyAddress, (q, s) => this.#answerReady(q, s)],
-      [settings.controlAddress, (q, s) => this.#answerPeer(q, s)],
+      [settings.controlAddress, (q, s) => void this.#answerPeer(q, s)],
       [
         `${settings.vmAddress}:${settings.metricsPort}`,
         (q, s) => void this.#answerMetrics(q, s),
@@ -207,6 +234,8 @@
 
   close(): void {
     this.#follower.close();
+    this.#readers.close();
+    this.#feedClient.close();
     this.#housekeeping?.cancel();
     this.#peers.close();
     for (const server of this.#servers) {
@@ -217,6 +246,12 @@
     this.#gate.close();
   }
 
+  #stateApplied(): void {
+    const {workerAddress} = this.#options.settings;
+    this.#gate.workerChanged(this.#state.workerAt(workerAddress));
+    this.#feed.wake();
+  }
+
   #stateChanged(change: MeshStateChange): void {
     const {log, metrics} = this.#options;
     const revision = this.#state.revision;
@@ -258,11 +293,11 @@
     );
   }
 
-  #vmChanged(vmAddress: string, isDown: boolean): void {
+  #vmChanged(vmAddress: string, change: PeerChange): void {
     const {log, metrics} = this.#options;
-    this.#vmsDown += isDown ? 1 : -1;
+    this.#vmsDown += change === 'down' ? 1 : -1;
     metrics.set('carobseam_relay_vms_down', this.#vmsDown);
-    log.logger.info(isDown ? 'vm_lost' : 'vm_regained', {vmAddress});
+    log.logger.info(VM_EVENTS[change], {vmAddress});
   }
 
   #peerAddresses(): string[] {
@@ -276,8 +311,26 @@
     return [...addresses];
   }
 
+  /** Control addresses of the other relays of this data centre. */
+  #neighbourAddresses(): string[] {
+    const {settings} = this.#options;
+    const port = settings.controlAddress.split(':')[1];
+    const addresses = new Set<string>();
+    for (const worker of this.#state.workers()) {
+      if (worker.dataCentre === settings.dataCentre) {
+        addresses.add(`${vmAddressOf(worker)}:${port}`);
+      }
+    }
+    addresses.delete(settings.controlAddress);
+    return [...addresses];
+  }
+
   #relayCount(): number {
-    return new Set([...this.#state.workers()].map(vmAddressOf)).size;
+    return this.#vmAddresses().size;
+  }
+
+  #vmAddresses(): Set<string> {
+    return new Set([...this.#state.workers()].map(vmAddressOf));
   }
 
   #answerReady(_request: IncomingMessage, response: ServerResponse): void {
@@ -287,16 +340,26 @@
     response.end();
   }
 
-  #answerPeer(request: IncomingMessage, response: ServerResponse): void {
+  async #answerPeer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://relay');
-    const after = Number(url.searchParams.get('after'));
-    const isNewer = this.#state.config && this.#state.revision > after;
-    if (url.pathname !== PEER_STATE_PATH || !isNewer) {
+    if (url.pathname !== FEED_PATH) {
       response.writeHead(404, ['Content-Length', '0']);
       response.end();
       return;
     }
-    response.end(JSON.stringify(this.#state.toSnapshot()));
+    const answer = await this.#feed.answer(
+      parseFeedRequest(url.searchParams),
+      () => ({
+        isReader: this.#readers.isReader && !this.#isLeaving,
+        readers: this.#readers.readers,
+      }),
+    );
+    const body = JSON.stringify(answer);
+    response.setHeader('Content-Length', Buffer.byteLength(body));
+    response.end(body);
   }
 
   async #answerMetrics(
@@ -312,6 +375,7 @@
     this.#housekeeping = this.#options.clock.setTimer(HOUSEKEEPING_MS, () => {
       this.#pools.closeExpired();
       this.#gate.closeExpired();
+      this.#peers.retain(this.#vmAddresses());
       this.#scheduleHousekeeping();
     });
   }
--- a/daemon/relay/test/relay_fixtures.ts
+++ b/daemon/relay/test/relay_fixtures.ts
@@ -201,6 +201,7 @@
       metricsPort: ports[4]!,
       seedAddresses: [],
       storeAddress: '127.0.0.1:1',
+      linkMbps: 1000,
       graceS: 4,
       drainMs: 2000,
       retryBudgetRatio: 0.2,
--- /dev/null
+++ b/fleet/follower/src/feed_client.ts
@@ -0,0 +1,39 @@
+import {httpGet} from '@carobseam/core.http_get';
+import http from 'node:http';
+import {FEED_PATH, type FeedAnswer, type FeedRequest} from './feed_types.js';
+
+const ANSWER_MS = 600; // a peer under load answers within a few turns of its loop
+const MAX_BYTES = 16 * 1024 * 1024; // several of the largest configurations
+
+/** Asks peers for changes, over kept connections. */
+export class FeedClient {
+  readonly #agent = new http.Agent({keepAlive: true, maxSockets: 1});
+
+  /**
+   * @param address control address of the peer.
+   * @throws Error when the peer does not answer in time.
+   */
+  async fetch(address: string, request: FeedRequest): Promise<FeedAnswer> {
+    const query = new URLSearchParams();
+    for (const [name, value] of Object.entries(request)) {
+      if (value !== undefined) {
+        query.set(name, String(value));
+      }
+    }
+    const {status, body} = await httpGet({
+      address,
+      path: `${FEED_PATH}?${query}`,
+      agent: this.#agent,
+      timeoutMs: request.waitMs + ANSWER_MS,
+      maxBytes: MAX_BYTES,
+    });
+    if (status !== 200) {
+      throw new Error(`peer ${address} answered with status ${status}`);
+    }
+    return JSON.parse(body.toString('utf8')) as FeedAnswer;
+  }
+
+  close(): void {
+    this.#agent.destroy();
+  }
+}
--- a/fleet/follower/src/index.ts
+++ b/fleet/follower/src/index.ts
@@ -1,2 +1,5 @@
-export * from './peer_state_client.js';
+export * from './feed_client.js';
+export * from './feed_types.js';
+export * from './reader_links.js';
 export * from './source_follower.js';
+export * from './state_feed.js';
--- /dev/null
+++ b/fleet/follower/src/reader_links.ts
@@ -0,0 +1,193 @@
+import type {MeshState} from '@carobseam/config.mesh';
+import type {Logger} from '@carobseam/core.logger';
+import type {Clock} from '@carobseam/core.types';
+import type {FeedAnswer, FetchFeed} from './feed_types.js';
+
+const READERS = 2; // one may be cut off from the source without a sign
+const MIN_PEERS = 5; // below it, readers save fewer calls than they delay changes
+const POLL_WAIT_MS = 1500; // above the interval at which readers hear from the source
+const FRESH_MS = 2000; // two such intervals; below the bound for changes of 2.5 s
+const SEARCH_INTERVAL_MS = 150; // a data centre of 20 relays is searched in 3 s
+const REST_MS = 5000; // before a peer that was no use is asked again; four calls a second in a large data centre
+
+/** Options of `ReaderLinks`. */
+export interface ReaderLinksOptions {
+  clock: Clock;
+  state: MeshState;
+  logger: Logger;
+  fetchFeed: FetchFeed;
+  /** Whether this relay's link carries what the others need. */
+  canRead: boolean;
+  ownAddress: string;
+  /** Control addresses of the other relays of the data centre. */
+  peerAddresses: () => readonly string[];
+}
+
+interface Link {
+  address: string;
+  run?: string;
+  sequence?: number;
+  freshUntilMs: number;
+  needsWholeConfig: boolean;
+}
+
+/**
+ * Follows the relays of the data centre that read the source, so that a large
+ * configuration crosses thin links as changes and the source gets few calls.
+ * Of the relays with a wide link, those with the lowest addresses read.
+ */
+export class ReaderLinks {
+  readonly #options: ReaderLinksOptions;
+  readonly #links = new Map<string, Link>();
+  readonly #restUntilMs = new Map<string, number>();
+  #hints: readonly string[] = [];
+  #isClosed = false;
+  #wasReader = false;
+
+  constructor(options: ReaderLinksOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the readers make calls to the source needless. */
+  get isFresh(): boolean {
+    const wanted = this.#options.canRead ? READERS : 1;
+    return this.#freshLinks().length >= wanted;
+  }
+
+  get isReader(): boolean {
+    return (
+      this.#options.canRead &&
+      !this.isFresh &&
+      this.#options.state.config !== undefined
+    );
+  }
+
+  get readers(): readonly string[] {
+    return this.#freshLinks().map(link => link.address);
+  }
+
+  /** Looks for readers until `close`. */
+  start(): void {
+    this.#search();
+  }
+
+  close(): void {
+    this.#isClosed = true;
+  }
+
+  #search(): void {
+    if (this.#isClosed) {
+      return;
+    }
+    this.#noteRole();
+    const peers = this.#candidates();
+    if (this.#links.size < READERS && peers.length > 0) {
+      void this.#follow(peers[0]!);
+    }
+    this.#options.clock.setTimer(SEARCH_INTERVAL_MS, () => this.#search());
+  }
+
+  #noteRole(): void {
+    const {logger, state} = this.#options;
+    if (this.isReader !== this.#wasReader) {
+      this.#wasReader = this.isReader;
+      logger.info('reader_role', {
+        isReader: this.isReader,
+        readers: this.readers.join(),
+        revision: state.revision,
+      });
+    }
+  }
+
+  /** Peers worth asking, the most likely readers first. */
+  #candidates(): string[] {
+    const {canRead, clock, ownAddress, peerAddresses, state} = this.#options;
+    const peers = peerAddresses();
+    if (!state.config || peers.length < MIN_PEERS) {
+      return [];
+    }
+    const nowMs = clock.monotonicMs();
+    const known = new Set(peers);
+    const ordered = [...this.#hints, ...[...peers].sort(compareAddresses)];
+    return ordered.filter(
+      address =>
+        known.has(address) &&
+        !this.#links.has(address) &&
+        (this.#restUntilMs.get(address) ?? 0) <= nowMs &&
+        // Of two wide relays the one with the lower address reads.
+        !(canRead && compareAddresses(ownAddress, address) < 0),
+    );
+  }
+
+  async #follow(address: string): Promise<void> {
+    const {clock, logger, state} = this.#options;
+    const link: Link = {address, freshUntilMs: 0, needsWholeConfig: false};
+    this.#links.set(address, link);
+    let cause = 'closed';
+    try {
+      while (!this.#isClosed && (await this.#poll(link))) {
+        // The next poll waits for the next change.
+      }
+      cause = 'no reader';
+    } catch (error) {
+      // Another peer is found by the search.
+      cause = error instanceof Error ? error.message : String(error);
+    }
+    this.#links.delete(address);
+    this.#restUntilMs.set(address, clock.monotonicMs() + REST_MS);
+    if (link.run !== undefined) {
+      logger.info('reader_lost', {
+        peer: address,
+        cause,
+        revision: state.revision,
+      });
+    }
+  }
+
+  /** @return false when the peer is no reader. */
+  async #poll(link: Link): Promise<boolean> {
+    const {clock, fetchFeed, logger, state} = this.#options;
+    const answer = await fetchFeed(link.address, {
+      run: link.run,
+      sequence: link.sequence,
+      version: link.needsWholeConfig ? 0 : (state.config?.version ?? 0),
+      revision: state.revision,
+      waitMs: link.run === undefined ? 0 : POLL_WAIT_MS,
+    });
+    if (this.#isClosed || !answer.isReader) {
+      this.#hints = answer.readers;
+      return false;
+    }
+    if (link.run === undefined) {
+      logger.info('reader_followed', {
+        peer: link.address,
+        revision: answer.revision,
+      });
+    }
+    this.#apply(link, answer);
+    link.freshUntilMs = clock.monotonicMs() + FRESH_MS - answer.contactAgeMs;
+    return true;
+  }
+
+  #apply(link: Link, answer: FeedAnswer): void {
+    const {state} = this.#options;
+    const isFitting = state.applyUpdate(answer);
+    link.needsWholeConfig =
+      !isFitting && answer.configDelta?.from === state.config?.version;
+    link.run = answer.run;
+    link.sequence = answer.sequence;
+  }
+
+  #freshLinks(): Link[] {
+    const nowMs = this.#options.clock.monotonicMs();
+    return [...this.#links.values()].filter(link => link.freshUntilMs > nowMs);
+  }
+}
+
+/** Orders addresses alike on every relay. */
+function compareAddresses(a: string, b: string): number {
+  if (a.length !== b.length) {
+    return a.length - b.length;
+  }
+  return a < b ? -1 : a > b ? 1 : 0;
+}
--- a/fleet/follower/src/source_follower.ts
+++ b/fleet/follower/src/source_follower.ts
@@ -1,13 +1,11 @@
-import type {
-  MeshSnapshot,
-  MeshSource,
-  MeshState,
-  SourceRevision,
-} from '@carobseam/config.mesh';
+import type {MeshSource, MeshState} from '@carobseam/config.mesh';
 import type {Logger} from '@carobseam/core.logger';
 import type {Clock, RandomSource, Timer} from '@carobseam/core.types';
+import type {FetchFeed} from './feed_types.js';
 
 const WATCH_WAIT_MS = 2500; // a silent connection is noticed before the drain bound has passed twice
+const READER_WAIT_MS = 1000; // followers must hear twice within their bound of 2 s that the source answers
+const PAUSE_MS = 100; // how late it is noticed that the readers went silent
 const BATCH_MS = 350; // changes of this time share one call; well below the bounds of 2 s
 const FIRST_RETRY_MS = 60; // a few times the answer time of the source
 const MAX_RETRY_MS = 500; // two tries within a bound of 2 s
@@ -24,10 +22,11 @@
   logger: Logger;
   /** Control addresses of other relays, without this one. */
   peerAddresses: () => readonly string[];
-  fetchPeerState: (
-    address: string,
-    after: SourceRevision,
-  ) => Promise<MeshSnapshot | undefined>;
+  fetchFeed: FetchFeed;
+  /** Other relays that read the source, and whether this one does. */
+  readers: {readonly isFresh: boolean; readonly isReader: boolean};
+  /** Called when the source has answered. */
+  onContact?: () => void;
   /** Called for each call to the source with its outcome. */
   onCall?: (outcome: 'ok' | 'failed') => void;
 }
@@ -49,6 +48,11 @@
   /** Runs until `close`. */
   async run(): Promise<void> {
     while (!this.#isClosed) {
+      if (!this.#needsRead && this.#options.readers.isFresh) {
+        this.#regained();
+        await this.#sleep(PAUSE_MS);
+        continue;
+      }
       try {
         await this.#step();
         this.#options.onCall?.('ok');
@@ -66,7 +70,7 @@
   }
 
   async #step(): Promise<void> {
-    const {source, state, logger} = this.#options;
+    const {source, state, logger, readers} = this.#options;
     if (this.#needsRead) {
       const snapshot = await source.read();
       this.#contacted();
@@ -74,7 +78,8 @@
       this.#needsRead = false;
       return;
     }
-    const changes = await source.watch(state.revision, WATCH_WAIT_MS);
+    const waitMs = readers.isReader ? READER_WAIT_MS : WATCH_WAIT_MS;
+    const changes = await source.watch(state.revision, waitMs);
     this.#contacted();
     if (!changes) {
       logger.warn('source_history_lost', {
@@ -91,6 +96,12 @@
   }
 
   #contacted(): void {
+    this.#regained();
+    this.#options.onContact?.();
+  }
+
+  /** The source is heard again, by itself or through its readers. */
+  #regained(): void {
     if (this.#failures === 0) {
       return;
     }
@@ -140,17 +151,22 @@
   }
 
   async #askPeer(address: string): Promise<void> {
-    const {state, logger, fetchPeerState} = this.#options;
+    const {state, logger, fetchFeed} = this.#options;
+    const {revision} = state;
     try {
-      const snapshot = await fetchPeerState(address, state.revision);
-      if (snapshot && snapshot.revision > state.revision) {
+      const answer = await fetchFeed(address, {
+        version: state.config?.version ?? 0,
+        revision,
+        waitMs: 0,
+      });
+      if (answer.isWhole && answer.revision > state.revision) {
+        state.applyUpdate(answer);
         logger.info('state_from_peer', {
           peer: address,
-          before: state.revision,
-          revision: snapshot.revision,
-          version: snapshot.config?.version,
+          before: revision,
+          revision: state.revision,
+          version: state.config?.version,
         });
-        state.applySnapshot(snapshot);
       }
     } catch (error) {
       // Another peer is asked in the next round.
--- a/fleet/follower/test/source_follower.test.ts
+++ b/fleet/follower/test/source_follower.test.ts
@@ -79,9 +79,20 @@
     state,
     logger: silentLogger,
     peerAddresses: () => ['10.0.0.2:1', '10.0.0.3:1', '10.0.0.4:1'],
-    fetchPeerState: address => {
+    readers: {isFresh: false, isReader: false},
+    fetchFeed: address => {
       asked.push(address);
-      return Promise.resolve(peerState);
+      return Promise.resolve({
+        workers: [],
+        revision: 0 as SourceRevision,
+        ...peerState,
+        sequence: 1,
+        isWhole: true,
+        run: 'a',
+        isReader: false,
+        readers: [],
+        contactAgeMs: 0,
+      });
     },
   });
   void follower.run();
