feat(soak): relays as processes under random faults

Adds npm run soak: a store stand-in, workers whose runs are counted, loopback proxies that slow, cut one way, silence and reset, and faults of processes, workers, store and configuration in series and overlapping. Callers check each answer: whole and of the right worker, unsafe requests at most once, true refusals, no answer lost at a calm relay, versions and leaving workers within their bounds, recovery after the last fault.

--- /dev/null
+++ b/testing/soak/src/bin.ts
@@ -0,0 +1,33 @@
+import {Command, InvalidArgumentError} from 'commander';
+import {runSoak} from './run_soak.js';
+
+const MS_PER_MINUTE = 60_000;
+const DEFAULT_BASE_PORT = 21_400; // below the system's range of outgoing ports
+
+function parsePositive(text: string): number {
+  const value = Number(text);
+  if (!(value > 0)) {
+    throw new InvalidArgumentError('give a number above 0');
+  }
+  return value;
+}
+
+const program = new Command('soak')
+  .description('Runs relays under random faults and checks the promises.')
+  .option('--seed <seed>', 'seed of faults and requests', parsePositive, 1)
+  .option('--minutes <minutes>', 'length', parsePositive, 1)
+  .option('--vms <count>', 'relay processes', parsePositive, 8)
+  .option('--base-port <port>', 'first port', parsePositive, DEFAULT_BASE_PORT)
+  .action(async options => {
+    const result = await runSoak({
+      seed: options.seed,
+      durationMs: options.minutes * MS_PER_MINUTE,
+      vms: options.vms,
+      basePort: options.basePort,
+      progress: line => console.error(line),
+    });
+    console.log(JSON.stringify(result));
+    process.exitCode = result.broken.length > 0 ? 1 : 0;
+  });
+
+await program.parseAsync();
--- /dev/null
+++ b/testing/soak/src/index.ts
@@ -0,0 +1,1 @@
+export * from './run_soak.js';
--- /dev/null
+++ b/testing/soak/src/soak_mesh.ts
@@ -0,0 +1,231 @@
+import type {
+  MeshConfig,
+  MeshRoute,
+  MeshWorker,
+  RouteName,
+  WorkerId,
+} from '@carobseam/config.mesh';
+import type {
+  ConfigVersion,
+  DataCentreName,
+  RandomSource,
+  ServiceName,
+} from '@carobseam/core.types';
+import {StoreStandIn} from '@carobseam/platform.store_stand_in';
+import {ProcessHandle} from '@carobseam/testing.fixtures';
+import {closeSync, mkdtempSync, openSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {FaultProxy} from './fault_proxy.js';
+import type {Ledger} from './ledger.js';
+import {SoakWorker} from './soak_worker.js';
+
+const BUNDLE = path.resolve(
+  import.meta.dirname,
+  '../../../../target/carobseam-relay.mjs',
+);
+const SLOTS = 8;
+const GRACE_S = 6;
+const SERVICE = 'desk' as ServiceName;
+const WIDE_MBPS = 100;
+const THIN_MBPS = 5;
+
+/** Host of the requests that the configuration routes. */
+export const SOAK_HOST = 'hints.example';
+/** Time after which a leaving worker must get nothing, in ms. */
+export const DRAIN_MS = 2500;
+
+/** One VM: a relay process, its worker, and the proxies on its links. */
+export interface SoakVm {
+  index: number;
+  outbound: {host: string; port: number};
+  readyUrl: string;
+  worker: SoakWorker;
+  /** On the way from other relays. */
+  inboundProxy: FaultProxy;
+  /** On the way to the store. */
+  storeProxy: FaultProxy;
+  process?: ProcessHandle;
+  /** Last moment of a fault on this VM, on `performance.now`, in ms. */
+  faultMs: number;
+  /** When the relay last ended. */
+  endedMs: number;
+  /** Whether a fault is under way, and whether it concerns the relay. */
+  isBusy: boolean;
+  isHarmed: boolean;
+}
+
+/** Whether a VM's relay has met no fault since a moment. */
+export function isCalmSince(vm: SoakVm, sinceMs: number): boolean {
+  return !vm.isHarmed && vm.faultMs < sinceMs;
+}
+
+/** Options of `SoakMesh`. */
+export interface SoakMeshOptions {
+  vms: number;
+  basePort: number;
+  random: RandomSource;
+  ledger: Ledger;
+}
+
+/** Everything that a soak runs: store, workers, proxies, relay processes. */
+export class SoakMesh {
+  readonly store = new StoreStandIn();
+  readonly vms: SoakVm[] = [];
+  readonly logDir = mkdtempSync(path.join(tmpdir(), 'carobseam-soak-'));
+  /** Last moment of a fault of the store, on `performance.now`, in ms. */
+  storeFaultMs = -Infinity;
+  version = 0;
+  readonly #options: SoakMeshOptions;
+  #incarnations = 0;
+  #storeAddress = '';
+
+  constructor(options: SoakMeshOptions) {
+    this.#options = options;
+  }
+
+  async start(): Promise<void> {
+    this.#storeAddress = await this.store.listen('127.0.0.1');
+    this.changeConfig();
+    for (let index = 0; index < this.#options.vms; index++) {
+      this.vms.push(await this.#createVm(index));
+    }
+    // No relay may outlive a soak that fails.
+    process.once('exit', () =>
+      this.vms.forEach(vm => vm.process?.signal('SIGKILL')),
+    );
+    this.vms.forEach(vm => this.startRelay(vm));
+  }
+
+  /** Puts the next version in force: only its own probe route exists. */
+  changeConfig(): void {
+    this.version++;
+    const config: MeshConfig = {
+      version: this.version as ConfigVersion,
+      routes: [
+        createRoute('read', true),
+        createRoute('buy', false),
+        createRoute(`v${this.version}`, true),
+      ],
+      limits: {
+        maxHeaderBytes: 16384,
+        maxBodyBytes: 1_000_000,
+        headerTimeoutMs: 3000,
+        idleTimeoutMs: 15_000,
+      },
+    };
+    this.store.putConfig(config);
+  }
+
+  async startWorker(vm: SoakVm): Promise<void> {
+    await vm.worker.start(`i-${vm.index}-${++this.#incarnations}`);
+    this.store.putWorker(this.entryOf(vm, false));
+  }
+
+  entryOf(vm: SoakVm, isLeaving: boolean): MeshWorker {
+    return {
+      id: vm.worker.id as WorkerId,
+      service: SERVICE,
+      address: `${publicHost(vm.index)}:${this.#options.basePort}`,
+      dataCentre: 'wien' as DataCentreName,
+      slots: SLOTS,
+      isLeaving,
+      coldRemainingMs: 0,
+      bornMs: Date.now(),
+    };
+  }
+
+  startRelay(vm: SoakVm): void {
+    const file = path.join(this.logDir, `relay-${vm.index}.yaml`);
+    const logFd = openSync(file.replace('.yaml', '.log'), 'a');
+    vm.process = new ProcessHandle({
+      script: BUNDLE,
+      args: [],
+      env: {CAROBSEAM_NODE_FILE: file},
+      logFd,
+    });
+    closeSync(logFd);
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.vms.map(vm => vm.process?.kill()));
+    for (const vm of this.vms) {
+      vm.inboundProxy.close();
+      vm.storeProxy.close();
+      await vm.worker.crash();
+    }
+    await this.store.close();
+  }
+
+  async #createVm(index: number): Promise<SoakVm> {
+    const {basePort, random, ledger} = this.#options;
+    const [host, shown] = [`127.0.10.${index + 1}`, publicHost(index)];
+    const [storeHost, storePort] = this.#storeAddress.split(':');
+    const inboundProxy = new FaultProxy({host, port: basePort + 2});
+    await inboundProxy.listen(shown, basePort + 2);
+    const storeProxy = new FaultProxy({
+      host: storeHost!,
+      port: Number(storePort),
+    });
+    await storeProxy.listen(shown, basePort + 5);
+    const settings = {
+      vm: `vm-${index}`,
+      vmAddress: host,
+      dataCentre: 'wien',
+      service: SERVICE,
+      workerAddress: `${shown}:${basePort}`,
+      outboundAddress: `${host}:${basePort + 1}`,
+      inboundAddress: `${host}:${basePort + 2}`,
+      readyAddress: `${host}:${basePort + 3}`,
+      controlAddress: `${shown}:${basePort + 4}`,
+      metricsPort: basePort + 6,
+      seedAddresses: [],
+      storeAddress: `${shown}:${basePort + 5}`,
+      linkMbps: index < 2 ? WIDE_MBPS : THIN_MBPS,
+      graceS: GRACE_S,
+      drainMs: DRAIN_MS,
+      retryBudgetRatio: 0.2,
+      retryBudgetSlack: 64,
+    };
+    const file = path.join(this.logDir, `relay-${index}.yaml`);
+    writeFileSync(file, JSON.stringify(settings));
+    const vm: SoakVm = {
+      index,
+      outbound: {host, port: basePort + 1},
+      readyUrl: `http://${host}:${basePort + 3}/ready`,
+      worker: new SoakWorker({
+        host: shown,
+        port: basePort,
+        slots: SLOTS,
+        random,
+        ledger,
+      }),
+      inboundProxy,
+      storeProxy,
+      faultMs: -Infinity,
+      endedMs: -Infinity,
+      isBusy: false,
+      isHarmed: false,
+    };
+    await this.startWorker(vm);
+    return vm;
+  }
+}
+
+function publicHost(index: number): string {
+  return `127.0.20.${index + 1}`;
+}
+
+function createRoute(name: string, isIdempotent: boolean): MeshRoute {
+  return {
+    name: name as RouteName,
+    host: SOAK_HOST,
+    pathPrefix: `/${name}/`,
+    isIdempotent,
+    timeoutMs: 1500,
+    targetLatencyMs: 400,
+    rank: isIdempotent ? 2 : 1,
+    maxAttempts: 2,
+    shares: [{service: SERVICE, weight: 1}],
+  };
+}
--- /dev/null
+++ b/testing/soak/src/soak_worker.ts
@@ -0,0 +1,143 @@
+import type {RandomSource} from '@carobseam/core.types';
+import {wireHeaders} from '@carobseam/platform.adapter';
+import http from 'node:http';
+import type {Ledger} from './ledger.js';
+
+const MIN_WORK_MS = 5;
+const WORK_SPREAD_MS = 60; // some requests meet a fault while they run
+
+/** How a worker spoils its answers. */
+export type WorkerMood =
+  'sound' | 'losing' | 'cutting' | 'doubling' | 'failing';
+
+/** Options of `SoakWorker`. */
+export interface SoakWorkerOptions {
+  host: string;
+  port: number;
+  slots: number;
+  random: RandomSource;
+  ledger: Ledger;
+}
+
+/** A worker whose runs are counted and whose answers can be checked. */
+export class SoakWorker {
+  mood: WorkerMood = 'sound';
+  id = '';
+  readonly #options: SoakWorkerOptions;
+  #server?: http.Server;
+  #running = 0;
+
+  constructor(options: SoakWorkerOptions) {
+    this.#options = options;
+  }
+
+  get isUp(): boolean {
+    return this.#server !== undefined;
+  }
+
+  async start(id: string): Promise<void> {
+    this.id = id;
+    this.#running = 0;
+    const server = http.createServer((request, response) => {
+      request.resume();
+      request.on('end', () => this.#run(request, response));
+    });
+    this.#server = server;
+    await new Promise<void>(resolve => {
+      server.listen(this.#options.port, this.#options.host, resolve);
+    });
+  }
+
+  /** Ends at once, with all that runs. */
+  async crash(): Promise<void> {
+    const server = this.#server;
+    this.#server = undefined;
+    if (server) {
+      await new Promise<void>(resolve => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      });
+    }
+  }
+
+  #run(request: http.IncomingMessage, response: http.ServerResponse): void {
+    const id = request.headers[wireHeaders.requestId] as string | undefined;
+    if (id === undefined) {
+      reject(response, 400);
+      return;
+    }
+    response.setHeader(wireHeaders.requestId, id);
+    if (request.headers[wireHeaders.expectedWorker] !== this.id) {
+      reject(response, 421);
+      return;
+    }
+    if (this.#running >= this.#options.slots) {
+      reject(response, 503);
+      return;
+    }
+    this.#running++;
+    this.#options.ledger.ran(id, this.id);
+    const workMs =
+      MIN_WORK_MS + this.#options.random.nextFloat() * WORK_SPREAD_MS;
+    setTimeout(() => {
+      this.#running--;
+      this.#answer(id, request.url!, response);
+    }, workMs);
+  }
+
+  #answer(id: string, url: string, response: http.ServerResponse): void {
+    response.setHeader(wireHeaders.workerSeal, sealOf(id));
+    const body = bodyOf(id, url);
+    const isSpoiled = this.#options.random.nextFloat() < SPOILED_SHARE;
+    const moods: Record<WorkerMood, () => void> = {
+      sound: () => response.end(body),
+      losing: () => response.destroy(),
+      cutting: () => {
+        response.setHeader('Content-Length', body.length);
+        response.write(body.slice(0, body.length / 2), () =>
+          response.destroy(),
+        );
+      },
+      doubling: () => {
+        const {socket} = response;
+        response.end(body, () => socket?.write(extraAnswer(id)));
+      },
+      failing: () => {
+        response.statusCode = 500;
+        response.end('failed');
+      },
+    };
+    moods[isSpoiled ? this.mood : 'sound']();
+  }
+}
+
+const SPOILED_SHARE = 0.3; // of the answers while a worker is unsound
+
+/** Seal of a worker over its answer to a request. */
+export function sealOf(id: string): string {
+  return `seal-${id}`;
+}
+
+/** The whole body of a worker's answer. */
+export function bodyOf(id: string, url: string): string {
+  return `${id} ${url} `.padEnd(PADDED_LENGTH, '.');
+}
+
+const PADDED_LENGTH = 3000; // several segments, so that a cut leaves a part
+
+function reject(response: http.ServerResponse, status: number): void {
+  response.statusCode = status;
+  response.setHeader(wireHeaders.notExecuted, '1');
+  response.end();
+}
+
+function extraAnswer(id: string): string {
+  return [
+    'HTTP/1.1 200 OK',
+    `${wireHeaders.requestId}: ${id}`,
+    `${wireHeaders.workerSeal}: ${sealOf(id)}`,
+    'Content-Length: 5',
+    '',
+    'extra',
+  ].join('\r\n');
+}
