perf(follower): fewer polls and estimates; return to readers that were silent

A reader that did not answer once was left alone for 5 s; meanwhile a watch carried every version of a storm (170 kB each, three a second) over a link of 3.5 Mbit/s. Change: a reader that was lost is asked again after 300 ms; a relay whose readers fall silent reads the newest state once instead of every version since. Peers are answered at every second contact with the store instead of each, the pause while readers are fresh needs no polling, and workers of other data centres are estimated only when no local one is in time.

--- a/calls/placement/src/choose_worker.ts
+++ b/calls/placement/src/choose_worker.ts
@@ -35,7 +35,6 @@
 interface Candidate {
   worker: MeshWorker;
   expectedMs: number;
-  isLocal: boolean;
   isDoubtful: boolean;
   isFull: boolean;
   isUnknown: boolean;
@@ -48,25 +47,17 @@
  * stays in the own data centre.
  */
 export function chooseWorker(options: ChooseWorkerOptions): Choice | undefined {
-  const candidates = options.workers
-    .filter(worker => !options.tried.has(worker.id))
-    .map(worker => toCandidate(worker, options));
-  const sound = candidates.filter(candidate => !candidate.isDoubtful);
-  if (sound.length === 0) {
-    const last = fastest(candidates, options);
-    return last && toChoice(last, 'lastResort');
-  }
-  const unknown = sound.filter(({isUnknown}) => isUnknown);
-  if (unknown.length > 0 && options.random.nextFloat() < FIRST_TRY_SHARE) {
-    return toChoice(
-      unknown[options.random.nextInt(unknown.length)]!,
-      'firstTry',
-    );
+  const {workers, tried, random, dataCentre} = options;
+  const left = workers.filter(worker => !tried.has(worker.id));
+  if (random.nextFloat() < FIRST_TRY_SHARE) {
+    const unknown = soundOf(left, options).filter(({isUnknown}) => isUnknown);
+    if (unknown.length > 0) {
+      return toChoice(unknown[random.nextInt(unknown.length)]!, 'firstTry');
+    }
   }
-  const local = fastest(
-    sound.filter(candidate => candidate.isLocal),
-    options,
-  );
+  // Estimates cost time, so those elsewhere are made only when needed.
+  const isLocal = (worker: MeshWorker) => worker.dataCentre === dataCentre;
+  const local = fastest(soundOf(left.filter(isLocal), options), options);
   const isLocalInTime =
     local !== undefined &&
     !local.isFull &&
@@ -74,8 +65,15 @@
   if (isLocalInTime) {
     return toChoice(local, 'local');
   }
+  const elsewhere = left.filter(worker => !isLocal(worker));
+  const soundElsewhere = soundOf(elsewhere, options);
+  if (!local && soundElsewhere.length === 0) {
+    const candidates = left.map(worker => toCandidate(worker, options));
+    const last = fastest(candidates, options);
+    return last && toChoice(last, 'lastResort');
+  }
   const remote = fastest(
-    sound.filter(({isLocal, isFull}) => !isLocal && !isFull),
+    soundElsewhere.filter(({isFull}) => !isFull),
     options,
   );
   const crossingMs = options.targetLatencyMs * CROSSING_SHARE;
@@ -87,6 +85,15 @@
   return local && toChoice(local, 'local');
 }
 
+function soundOf(
+  workers: readonly MeshWorker[],
+  options: ChooseWorkerOptions,
+): Candidate[] {
+  return workers
+    .map(worker => toCandidate(worker, options))
+    .filter(candidate => !candidate.isDoubtful);
+}
+
 function toCandidate(
   worker: MeshWorker,
   options: ChooseWorkerOptions,
@@ -101,7 +108,6 @@
     expectedMs: load.waitMs + load.serviceMs + coldMs + failureMs,
     isFull: load.isFull,
     isUnknown: load.isUnknown,
-    isLocal: worker.dataCentre === options.dataCentre,
     isDoubtful:
       load.isLeaving ||
       load.failureShare > FAILING_SHARE ||
--- a/fleet/follower/src/reader_links.ts
+++ b/fleet/follower/src/reader_links.ts
@@ -6,8 +6,9 @@
 const READERS = 2; // one may be cut off from the source without a sign
 const MIN_PEERS = 5; // below it, readers save fewer calls than they delay changes
 const POLL_WAIT_MS = 1500; // above the interval at which readers hear from the source
-const FRESH_MS = 1200; // an interval and its batch; half of the bound for changes of 2.5 s
+const FRESH_MS = 1500; // two contacts with the source and a batch; well below the bound for changes of 2.5 s
 const SEARCH_INTERVAL_MS = 150; // a data centre of 20 relays is searched in 3 s
+const LOST_REST_MS = 300; // before a reader that did not answer is asked again
 const REST_MS = 5000; // before a peer that was no use is asked again; four calls a second in a large data centre
 
 /** Options of `ReaderLinks`. */
@@ -50,8 +51,17 @@
 
   /** Whether the readers make calls to the source needless. */
   get isFresh(): boolean {
+    return this.freshMs > 0;
+  }
+
+  /** How long that holds without another word of theirs, in ms. */
+  get freshMs(): number {
+    const nowMs = this.#options.clock.monotonicMs();
+    const leftMs = [...this.#links.values()]
+      .map(link => link.freshUntilMs - nowMs)
+      .sort((a, b) => b - a);
     const wanted = this.#options.canRead ? READERS : 1;
-    return this.#freshLinks().length >= wanted;
+    return Math.max(0, leftMs[wanted - 1] ?? 0);
   }
 
   get isReader(): boolean {
@@ -80,9 +90,11 @@
       return;
     }
     this.#noteRole();
-    const peers = this.#candidates();
-    if (this.#links.size < READERS && peers.length > 0) {
-      void this.#follow(peers[0]!);
+    if (this.#links.size < READERS) {
+      const [peer] = this.#candidates();
+      if (peer !== undefined) {
+        void this.#follow(peer);
+      }
     }
     this.#options.clock.setTimer(SEARCH_INTERVAL_MS, () => this.#search());
   }
@@ -124,6 +136,7 @@
     const link: Link = {address, freshUntilMs: 0, needsWholeConfig: false};
     this.#links.set(address, link);
     let cause = 'closed';
+    let restMs = REST_MS;
     try {
       while (!this.#isClosed && (await this.#poll(link))) {
         // The next poll waits for the next change.
@@ -132,9 +145,10 @@
     } catch (error) {
       // Another peer is found by the search.
       cause = error instanceof Error ? error.message : String(error);
+      restMs = link.run === undefined ? REST_MS : LOST_REST_MS;
     }
     this.#links.delete(address);
-    this.#restUntilMs.set(address, clock.monotonicMs() + REST_MS);
+    this.#restUntilMs.set(address, clock.monotonicMs() + restMs);
     if (link.run !== undefined) {
       logger.info('reader_lost', {
         peer: address,
--- a/fleet/follower/src/source_follower.ts
+++ b/fleet/follower/src/source_follower.ts
@@ -5,7 +5,7 @@
 
 const WATCH_WAIT_MS = 2500; // a silent connection is noticed before the drain bound has passed twice
 const READER_WAIT_MS = 600; // followers notice within 1.2 s that the source is silent
-const PAUSE_MS = 100; // how late it is noticed that the readers went silent
+const MIN_PAUSE_MS = 20; // readers that have just gone silent are noticed no later
 const BATCH_MS = 350; // changes of this time share one call; well below the bounds of 2 s
 const FIRST_RETRY_MS = 60; // a few times the answer time of the source
 const MAX_RETRY_MS = 500; // two tries within a bound of 2 s
@@ -24,7 +24,11 @@
   peerAddresses: () => readonly string[];
   fetchFeed: FetchFeed;
   /** Other relays that read the source, and whether this one does. */
-  readers: {readonly isFresh: boolean; readonly isReader: boolean};
+  readers: {
+    /** How long the others make calls needless, in ms; 0 when they do not. */
+    readonly freshMs: number;
+    readonly isReader: boolean;
+  };
   /** Called when the source has answered. */
   onContact?: () => void;
   /** Called for each call to the source with its outcome. */
@@ -36,6 +40,7 @@
   readonly #options: SourceFollowerOptions;
   #isClosed = false;
   #needsRead = true;
+  #wasFollowing = false;
   #failures = 0;
   #failingSinceMs = 0;
   #peerTimer?: Timer;
@@ -48,11 +53,22 @@
   /** Runs until `close`. */
   async run(): Promise<void> {
     while (!this.#isClosed) {
-      if (!this.#needsRead && this.#options.readers.isFresh) {
+      const {freshMs} = this.#options.readers;
+      if (!this.#needsRead && freshMs > 0) {
         this.#regained();
-        await this.#sleep(PAUSE_MS);
+        this.#wasFollowing = true;
+        await this.#sleep(Math.max(MIN_PAUSE_MS, freshMs));
         continue;
       }
+      if (this.#wasFollowing) {
+        this.#wasFollowing = false;
+        // Every version since would cross a thin link, not just the newest.
+        this.#needsRead = true;
+        this.#options.logger.info('readers_silent', {
+          revision: this.#options.state.revision,
+          outcome: 'reads the source',
+        });
+      }
       try {
         await this.#step();
         this.#options.onCall?.('ok');
--- a/fleet/follower/src/state_feed.ts
+++ b/fleet/follower/src/state_feed.ts
@@ -3,6 +3,7 @@
 import type {FeedAnswer, FeedRequest} from './feed_types.js';
 
 const MAX_WAIT_MS = 2000; // callers that left without a sign are let go by then
+const MIN_HOLD_MS = 600; // of a poll without news; two contacts with the source
 const MAX_RUN_NUMBER = 2 ** 31 - 1; // two runs share a number once in two thousand million
 
 /** Options of `StateFeed`. */
@@ -22,7 +23,8 @@
 export class StateFeed {
   readonly #options: StateFeedOptions;
   readonly #run: string;
-  readonly #waiting = new Set<() => void>();
+  readonly #waiting = new Set<Waiting>();
+  #toldSequence = 0;
   #contactMs = -Infinity;
 
   constructor(options: StateFeedOptions) {
@@ -32,15 +34,18 @@
 
   /** The source has just answered. */
   contacted(): void {
-    this.#contactMs = this.#options.clock.monotonicMs();
-    this.wake();
+    const nowMs = this.#options.clock.monotonicMs();
+    this.#contactMs = nowMs;
+    this.#answerWaiting(({sinceMs}) => nowMs - sinceMs >= MIN_HOLD_MS);
   }
 
-  /** Answers every peer that waits. */
-  wake(): void {
-    const waiting = [...this.#waiting];
-    this.#waiting.clear();
-    waiting.forEach(answer => answer());
+  /** Answers every peer that waits, if the state has changed. */
+  applied(): void {
+    const {sequence} = this.#options.state;
+    if (sequence !== this.#toldSequence) {
+      this.#toldSequence = sequence;
+      this.#answerWaiting(() => true);
+    }
   }
 
   /**
@@ -86,16 +91,33 @@
     };
   }
 
+  #answerWaiting(isDue: (waiting: Waiting) => boolean): void {
+    for (const waiting of [...this.#waiting].filter(isDue)) {
+      this.#waiting.delete(waiting);
+      waiting.answer();
+    }
+  }
+
   #wait(waitMs: number): Promise<void> {
+    const {clock} = this.#options;
     return new Promise(resolve => {
-      let timer: Timer | undefined = undefined;
-      const answer = () => {
-        timer?.cancel();
-        this.#waiting.delete(answer);
-        resolve();
+      const waiting: Waiting = {
+        sinceMs: clock.monotonicMs(),
+        answer: () => {
+          timer.cancel();
+          resolve();
+        },
       };
-      this.#waiting.add(answer);
-      timer = this.#options.clock.setTimer(waitMs, answer);
+      const timer: Timer = clock.setTimer(waitMs, () => {
+        this.#waiting.delete(waiting);
+        resolve();
+      });
+      this.#waiting.add(waiting);
     });
   }
 }
+
+interface Waiting {
+  sinceMs: number;
+  answer: () => void;
+}
--- a/fleet/follower/test/reader_links.test.ts
+++ b/fleet/follower/test/reader_links.test.ts
@@ -30,6 +30,7 @@
 /** The source of all relays; counts the calls of each. */
 class SharedSource {
   readonly calls: number[] = [];
+  readonly reads: number[] = [];
   readonly silentFor = new Set<number>();
   revision = 0;
   version = 0;
@@ -50,6 +51,7 @@
 
   of(relay: number, workers: MeshChanges['workers']): MeshSource {
     this.calls[relay] = 0;
+    this.reads[relay] = 0;
     const reply = async (): Promise<MeshChanges> => {
       await this.#pause(LATENCY_MS);
       if (this.silentFor.has(relay)) {
@@ -65,6 +67,7 @@
     return {
       read: async () => {
         this.calls[relay]!++;
+        this.reads[relay]!++;
         return {...(await reply()), workers};
       },
       watch: async (after, waitMs) => {
@@ -139,7 +142,7 @@
     const state = new MeshState({
       clock,
       removalGraceMs: 2200,
-      onApplied: () => feed.wake(),
+      onApplied: () => feed.applied(),
     });
     const random = new SeededRandom(relay + 1);
     const feed: StateFeed = new StateFeed({clock, random, state});
@@ -264,6 +267,25 @@
     centre.close();
   });
 
+  it('returns to its readers soon after they were silent', async () => {
+    const centre = createDataCentre(8);
+    await centre.clock.advanceAsync(START_MS);
+    centre.source.reads.fill(0);
+    centre.down.add(0).add(1);
+    await centre.clock.advanceAsync(3000);
+    const [, , ...reads] = centre.source.reads;
+    expect(new Set(reads), 'one whole reading each').to.deep.equal(
+      new Set([1]),
+    );
+    centre.down.clear();
+    await centre.clock.advanceAsync(4000);
+    centre.source.calls.fill(0);
+    await centre.clock.advanceAsync(2000);
+    const [, , ...calls] = centre.source.calls;
+    expect(calls).to.deep.equal(calls.map(() => 0));
+    centre.close();
+  });
+
   it('guards against both readers that end at once', async () => {
     const centre = createDataCentre(8);
     await centre.clock.advanceAsync(START_MS);
--- a/fleet/follower/test/source_follower.test.ts
+++ b/fleet/follower/test/source_follower.test.ts
@@ -79,7 +79,7 @@
     state,
     logger: silentLogger,
     peerAddresses: () => ['10.0.0.2:1', '10.0.0.3:1', '10.0.0.4:1'],
-    readers: {isFresh: false, isReader: false},
+    readers: {freshMs: 0, isReader: false},
     fetchFeed: address => {
       asked.push(address);
       return Promise.resolve({
