feat(cli): explain-request walks from a request's id to its cause

Cause: the on-call engineer had to search the logs of all relays by hand and to know which reasons mean what. Change: carobseam explain-request ID FILE... prints the end of the request in one sentence, its lines and those of its worker's calls, what the relays involved came to believe in the 5 s before, and whether lines were left out. Conclusion: four tests over logs of two relays.

--- a/cli/carobseam/src/create_program.ts
+++ b/cli/carobseam/src/create_program.ts
@@ -5,6 +5,10 @@
 import {drainCommand, type DrainOptions} from './drain_command.js';
 import {exitCodes, type ExitCode} from './exit_code.js';
 import {explainCommand, type ExplainOptions} from './explain_command.js';
+import {
+  explainRequestCommand,
+  type ExplainRequestOptions,
+} from './explain_request_command.js';
 import {
   DEFAULT_KEEP_VERSIONS,
   renderCommand,
@@ -51,6 +55,7 @@
   addDiff(program, options);
   addStatus(program, options);
   addExplain(program, options);
+  addExplainRequest(program, options);
   addDrain(program, options);
   return program;
 }
@@ -191,6 +196,26 @@
     );
 }
 
+function addExplainRequest(
+  program: Command,
+  options: CreateProgramOptions,
+): void {
+  program
+    .command('explain-request')
+    .description('shows from collected logs what became of a request')
+    .argument('<id>', 'id of the request')
+    .argument('<files...>', 'standard output of the relays')
+    .option('--json', 'writes one line of JSON')
+    .action((id: string, files: string[], args: ExplainRequestOptions) =>
+      options.finish(explainRequestCommand(id, files, args, options.output)),
+    )
+    .addHelpText(
+      'after',
+      example('carobseam explain-request 9c41d07be2a35f68 relay-*.log') +
+        EXIT_CODES_HELP,
+    );
+}
+
 function addDrain(program: Command, options: CreateProgramOptions): void {
   program
     .command('drain')
--- /dev/null
+++ b/cli/carobseam/test/explain_request.test.ts
@@ -0,0 +1,74 @@
+import {expect} from 'chai';
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {captureCli} from './capture_cli.js';
+
+const ENTRY = `
+time=2026-12-04T11:18:05.100Z level=info event=source_lost vm=vm-1 cause="no response within 600 ms" revision=9 outcome="asks peers"
+time=2026-12-04T11:18:09.100Z level=info event=request_placed vm=vm-1 id=a1 route=buy worker=i-4 reason=local expectedMs=40 leftMs=900 version=31
+time=2026-12-04T11:18:09.146Z level=warn event=request_ended vm=vm-1 id=a1 route=buy reason=connection_lost durationMs=46 outcome=unknown
+time=2026-12-04T11:18:09.200Z level=warn event=request_ended vm=vm-1 id=a10 route=buy reason=wouldBeLate durationMs=4 outcome=refused retryAfterMs=80
+not a line of a relay
+`;
+const WORKER = `
+time=2026-12-04T11:18:09.140Z level=warn event=gate_decision vm=vm-4 reason=connection_lost id=a1 outcome=unknown running=3 queued=0 serviceMs=40
+time=2026-12-04T11:18:09.141Z level=info event=request_ended vm=vm-4 id=a1.c7 route=check durationMs=5 outcome=answered status=200 attempts=1
+time=2026-12-04T11:18:09.500Z level=info event=log_lines_dropped vm=vm-4 lines=12
+time=2026-12-04T11:18:09.600Z level=info event=vm_lost vm=vm-4 vmAddress=10.0.0.9
+`;
+
+function writeLogs(): string[] {
+  const dir = mkdtempSync(path.join(tmpdir(), 'carobseam-logs-'));
+  return [ENTRY, WORKER].map((text, index) => {
+    const file = path.join(dir, `relay-${index}.log`);
+    writeFileSync(file, text);
+    return file;
+  });
+}
+
+describe('carobseam explain-request', () => {
+  it('walks from the id to the cause over the logs of several relays', async () => {
+    const {code, text} = await captureCli(
+      'explain-request',
+      'a1',
+      ...writeLogs(),
+    );
+    expect(code).to.equal(0);
+    expect(text.split('\n')[0]).to.equal(
+      'request a1: Outcome unknown, it may have run: the worker or its relay ended the connection.',
+    );
+    expect(text).to.include('event=gate_decision');
+    expect(text, 'a call of its worker').to.include('id=a1.c7');
+    expect(text, 'what the relay believed').to.include('event=source_lost');
+    expect(text, 'another request').to.not.include('id=a10');
+    expect(text, 'after its end').to.not.include('event=vm_lost');
+    expect(text).to.include('left out lines');
+  });
+
+  it('says why a request was refused', async () => {
+    const {text} = await captureCli('explain-request', 'a10', ...writeLogs());
+    expect(text).to.include('the queue was too long');
+    expect(text).to.include('80 ms');
+  });
+
+  it('says that no line names a request', async () => {
+    const {code, text} = await captureCli(
+      'explain-request',
+      'zz',
+      ...writeLogs(),
+    );
+    expect(code).to.equal(1);
+    expect(text).to.include('zz');
+  });
+
+  it('names a file that cannot be read', async () => {
+    const {code, text} = await captureCli(
+      'explain-request',
+      'a1',
+      '/nowhere/relay.log',
+    );
+    expect(code).to.equal(2);
+    expect(text).to.include('/nowhere/relay.log');
+  });
+});
--- a/core/errors/src/carobseam_error.ts
+++ b/core/errors/src/carobseam_error.ts
@@ -16,6 +16,7 @@
   | 'LINK_BUSY'
   | 'MESSAGE_INVALID'
   | 'LISTEN_FAILED'
+  | 'LOG_UNREADABLE'
   | 'ADMIN_UNREACHABLE'
   | 'TIMEOUT';
 
