fix(follower): keep up with a storm over a thin link while readers restart

Relays that read the store themselves then got five versions a second of 170 kB each in their watches, more than a link of 5 Mbit/s carries, so they fell ever further behind. A leaving reader sent its followers away at once, and a reader that had no configuration yet after its restart was not asked again for 5 s. Where a data centre has enough relays, they are asked first while the store is away, so that whole states cross no zone. Ruled out: the zone cut of dakar-plateau, as the late relays were in another zone. Test: a thin relay in a storm stayed with watches before; it reads now.

--- a/config/mesh/src/mesh_state.ts
+++ b/config/mesh/src/mesh_state.ts
@@ -22,6 +22,8 @@
 export interface MeshChanges {
   revision: SourceRevision;
   config?: MeshConfig;
+  /** Versions that were read to get at `config`; one when not stated. */
+  configCount?: number;
   workers: readonly WorkerChange[];
 }
 
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -32,6 +32,7 @@
 import {RequestRecorder} from './request_recorder.js';
 
 const READER_LINK_MBPS = 20; // a large configuration reaches 20 relays within a second
+const ENOUGH_NEIGHBOURS = 6; // with a third of them turned away, one of two asked knows more nine times in ten
 const REMOVAL_GRACE_MS = 2200; // entries of living workers are back within about 2 s
 const WORKER_CONNECT_TIMEOUT_MS = 500; // the worker is on the same VM
 const WORKER_IDLE_TTL_MS = 4000; // workers of the users' sheets close idle ones after 10 s
@@ -136,6 +137,7 @@
       peerAddresses: () => this.#peerAddresses(),
       fetchFeed,
       readers: this.#readers,
+      isLinkThin: settings.linkMbps < READER_LINK_MBPS,
       onContact: () => this.#feed.contacted(),
       onCall: outcome =>
         metrics.increment('carobseam_relay_store_calls_total', {outcome}),
@@ -249,7 +251,7 @@
   #stateApplied(): void {
     const {workerAddress} = this.#options.settings;
     this.#gate.workerChanged(this.#state.workerAt(workerAddress));
-    this.#feed.wake();
+    this.#feed.applied();
   }
 
   #stateChanged(change: MeshStateChange): void {
@@ -300,8 +302,13 @@
     log.logger.info(VM_EVENTS[change], {vmAddress});
   }
 
+  /** Peers to ask while the source is away; near ones where there are many. */
   #peerAddresses(): string[] {
     const {settings} = this.#options;
+    const neighbours = this.#neighbourAddresses();
+    if (neighbours.length >= ENOUGH_NEIGHBOURS) {
+      return neighbours;
+    }
     const port = settings.controlAddress.split(':')[1];
     const addresses = new Set(settings.seedAddresses);
     for (const worker of this.#state.workers()) {
@@ -353,7 +360,7 @@
     const answer = await this.#feed.answer(
       parseFeedRequest(url.searchParams),
       () => ({
-        isReader: this.#readers.isReader && !this.#isLeaving,
+        isReader: this.#readers.isReader,
         readers: this.#readers.readers,
       }),
     );
--- a/fleet/follower/src/reader_links.ts
+++ b/fleet/follower/src/reader_links.ts
@@ -8,8 +8,8 @@
 const POLL_WAIT_MS = 1500; // above the interval at which readers hear from the source
 const FRESH_MS = 1500; // two contacts with the source and a batch; well below the bound for changes of 2.5 s
 const SEARCH_INTERVAL_MS = 150; // a data centre of 20 relays is searched in 3 s
-const LOST_REST_MS = 300; // before a reader that did not answer is asked again
-const REST_MS = 5000; // before a peer that was no use is asked again; four calls a second in a large data centre
+const FIRST_REST_MS = 300; // before a reader that did not answer is asked again
+const MAX_REST_MS = 10_000; // of a peer that was no use again and again; two calls a second in a data centre of 20
 
 /** Options of `ReaderLinks`. */
 export interface ReaderLinksOptions {
@@ -24,6 +24,11 @@
   peerAddresses: () => readonly string[];
 }
 
+interface Rest {
+  restMs: number;
+  untilMs: number;
+}
+
 interface Link {
   address: string;
   run?: string;
@@ -40,7 +45,7 @@
 export class ReaderLinks {
   readonly #options: ReaderLinksOptions;
   readonly #links = new Map<string, Link>();
-  readonly #restUntilMs = new Map<string, number>();
+  readonly #rests = new Map<string, Rest>();
   #hints: readonly string[] = [];
   #isClosed = false;
   #wasReader = false;
@@ -125,18 +130,17 @@
       address =>
         known.has(address) &&
         !this.#links.has(address) &&
-        (this.#restUntilMs.get(address) ?? 0) <= nowMs &&
+        (this.#rests.get(address)?.untilMs ?? 0) <= nowMs &&
         // Of two wide relays the one with the lower address reads.
         !(canRead && compareAddresses(ownAddress, address) < 0),
     );
   }
 
   async #follow(address: string): Promise<void> {
-    const {clock, logger, state} = this.#options;
+    const {logger, state} = this.#options;
     const link: Link = {address, freshUntilMs: 0, needsWholeConfig: false};
     this.#links.set(address, link);
     let cause = 'closed';
-    let restMs = REST_MS;
     try {
       while (!this.#isClosed && (await this.#poll(link))) {
         // The next poll waits for the next change.
@@ -145,10 +149,9 @@
     } catch (error) {
       // Another peer is found by the search.
       cause = error instanceof Error ? error.message : String(error);
-      restMs = link.run === undefined ? REST_MS : LOST_REST_MS;
     }
     this.#links.delete(address);
-    this.#restUntilMs.set(address, clock.monotonicMs() + restMs);
+    this.#letRest(address, link.run !== undefined);
     if (link.run !== undefined) {
       logger.info('reader_lost', {
         peer: address,
@@ -158,6 +161,16 @@
     }
   }
 
+  /** Asks a peer less and less often while it is no use. */
+  #letRest(address: string, wasReader: boolean): void {
+    const known = wasReader ? undefined : this.#rests.get(address);
+    const restMs = known ? known.restMs * 2 : FIRST_REST_MS;
+    this.#rests.set(address, {
+      restMs: Math.min(MAX_REST_MS, restMs),
+      untilMs: this.#options.clock.monotonicMs() + restMs,
+    });
+  }
+
   /** @return false when the peer is no reader. */
   async #poll(link: Link): Promise<boolean> {
     const {clock, fetchFeed, logger, state} = this.#options;
--- a/fleet/follower/src/source_follower.ts
+++ b/fleet/follower/src/source_follower.ts
@@ -6,6 +6,7 @@
 const WATCH_WAIT_MS = 2500; // a silent connection is noticed before the drain bound has passed twice
 const READER_WAIT_MS = 600; // followers notice within 1.2 s that the source is silent
 const MIN_PAUSE_MS = 20; // readers that have just gone silent are noticed no later
+const CATCH_UP_MS = 2000; // several changes of a storm; then a watch shows whether it is over
 const BATCH_MS = 350; // changes of this time share one call; well below the bounds of 2 s
 const FIRST_RETRY_MS = 60; // a few times the answer time of the source
 const MAX_RETRY_MS = 500; // two tries within a bound of 2 s
@@ -29,6 +30,8 @@
     readonly freshMs: number;
     readonly isReader: boolean;
   };
+  /** Whether several versions of a large configuration take too long to read. */
+  isLinkThin: boolean;
   /** Called when the source has answered. */
   onContact?: () => void;
   /** Called for each call to the source with its outcome. */
@@ -41,6 +44,7 @@
   #isClosed = false;
   #needsRead = true;
   #wasFollowing = false;
+  #readsUntilMs = -Infinity;
   #failures = 0;
   #failingSinceMs = 0;
   #peerTimer?: Timer;
@@ -86,12 +90,15 @@
   }
 
   async #step(): Promise<void> {
-    const {source, state, logger, readers} = this.#options;
+    const {source, state, logger, readers, clock} = this.#options;
     if (this.#needsRead) {
       const snapshot = await source.read();
       this.#contacted();
       state.applySnapshot(snapshot);
-      this.#needsRead = false;
+      this.#needsRead = clock.monotonicMs() < this.#readsUntilMs;
+      if (this.#needsRead) {
+        await this.#sleep(BATCH_MS);
+      }
       return;
     }
     const waitMs = readers.isReader ? READER_WAIT_MS : WATCH_WAIT_MS;
@@ -106,6 +113,11 @@
       return;
     }
     state.applyChanges(changes);
+    if (this.#options.isLinkThin && (changes.configCount ?? 1) > 1) {
+      // A watch carries every version; in a storm only readings keep up.
+      this.#readsUntilMs = clock.monotonicMs() + CATCH_UP_MS;
+      this.#needsRead = true;
+    }
     if (changes.config || changes.workers.length > 0) {
       await this.#sleep(BATCH_MS);
     }
--- a/fleet/follower/test/reader_links.test.ts
+++ b/fleet/follower/test/reader_links.test.ts
@@ -189,6 +189,7 @@
       peerAddresses: () => [],
       fetchFeed,
       readers: links,
+      isLinkThin: relay >= WIDE,
       onContact: () => feed.contacted(),
     });
     return {state, feed, links, follower};
--- a/fleet/follower/test/source_follower.test.ts
+++ b/fleet/follower/test/source_follower.test.ts
@@ -67,6 +67,7 @@
   steps: Step[],
   durationMs: number,
   peerState?: MeshSnapshot,
+  isLinkThin = false,
 ) {
   const clock = new ManualClock();
   const state = new MeshState({clock, removalGraceMs: 2200});
@@ -79,6 +80,7 @@
     state,
     logger: silentLogger,
     peerAddresses: () => ['10.0.0.2:1', '10.0.0.3:1', '10.0.0.4:1'],
+    isLinkThin,
     readers: {freshMs: 0, isReader: false},
     fetchFeed: address => {
       asked.push(address);
@@ -125,6 +127,21 @@
     expect(state.config?.version).to.equal(5);
   });
 
+  it('guards against a thin link that carries every version of a storm', async () => {
+    const storm: Step = () =>
+      Promise.resolve({...changesOf(9, 9), configCount: 3});
+    const reads = Array.from({length: 9}, (_, n) => give(10 + n, 10 + n));
+    const {state, source} = await follow(
+      [give(4, 1), storm, ...reads],
+      2000,
+      undefined,
+      true,
+    );
+    expect(source.watches).to.deep.equal([4]);
+    expect(source.reads).to.be.above(4);
+    expect(state.config?.version).to.be.above(12);
+  });
+
   it('tries again when a read fails', async () => {
     const {state} = await follow([fail, fail, give(4, 1)], 1000);
     expect(state.config?.version).to.equal(1);
