fix(mesh): tell changes at the revision that brought them

Log lines of a first reading said revision=0, and later ones the revision before the change. The revision is set before the changes are told; a test fails on the former order.

--- a/config/mesh/src/mesh_state.ts
+++ b/config/mesh/src/mesh_state.ts
@@ -145,11 +145,15 @@
   }
 
   applyChanges(changes: MeshChanges): void {
+    // First, so that what is told of each change names its revision.
+    if (changes.revision > this.#revision) {
+      this.#revision = changes.revision;
+    }
     this.#applyConfig(changes.config);
     for (const change of changes.workers) {
       this.#applyWorker(change);
     }
-    this.#finish(changes.revision);
+    this.#finish();
   }
 
   /** Applies a full reading; entries that it lacks are removed. */
@@ -293,13 +297,10 @@
       this.#setSlot({id, revision});
     }
     this.#heldRemovals.clear();
-    this.#finish(this.#revision);
+    this.#finish();
   }
 
-  #finish(revision: SourceRevision): void {
-    if (revision > this.#revision) {
-      this.#revision = revision;
-    }
+  #finish(): void {
     this.#forgetOldRemovals();
     this.#byAddress = new Map();
     for (const worker of this.workers()) {
--- a/config/mesh/test/mesh_state.test.ts
+++ b/config/mesh/test/mesh_state.test.ts
@@ -55,6 +55,22 @@
     expect(state.config?.version).to.equal(7);
   });
 
+  it('tells changes at the revision that brought them', () => {
+    const clock = new ManualClock();
+    const told: number[] = [];
+    const state: MeshState = new MeshState({
+      clock,
+      removalGraceMs: 2200,
+      onChange: () => told.push(state.revision),
+    });
+    state.applyChanges({
+      revision: 5 as SourceRevision,
+      config: createConfig(7),
+      workers: [createPut(createWorker(), 4)],
+    });
+    expect(told).to.deep.equal([5, 5]);
+  });
+
   it('guards against an entry that a stale reading brings back', () => {
     const {state, apply, ids} = createState();
     apply(1, createPut(createWorker(), 1));
