--- a/fleet/follower/src/reader_links.ts
+++ b/fleet/follower/src/reader_links.ts
@@ -182,7 +182,7 @@
       waitMs: link.run === undefined ? 0 : POLL_WAIT_MS,
     });
     if (this.#isClosed || !answer.isReader) {
-      this.#hints = answer.readers;
+      this.#hints = answer.readers.length > 0 ? answer.readers : this.#hints;
       return false;
     }
     if (link.run === undefined) {
--- a/fleet/follower/src/source_follower.ts
+++ b/fleet/follower/src/source_follower.ts
@@ -32,7 +32,7 @@
   };
   /** Whether several versions of a large configuration take too long to read. */
   isLinkThin: boolean;
-  /** Called when the source has answered. */
+  /** Called when the source has answered and its answer is in force. */
   onContact?: () => void;
   /** Called for each call to the source with its outcome. */
   onCall?: (outcome: 'ok' | 'failed') => void;
@@ -58,8 +58,9 @@
   async run(): Promise<void> {
     while (!this.#isClosed) {
       const {freshMs} = this.#options.readers;
-      if (!this.#needsRead && freshMs > 0) {
+      if (this.#options.state.config && freshMs > 0) {
         this.#regained();
+        this.#needsRead = false;
         this.#wasFollowing = true;
         await this.#sleep(Math.max(MIN_PAUSE_MS, freshMs));
         continue;
@@ -93,8 +94,9 @@
     const {source, state, logger, readers, clock} = this.#options;
     if (this.#needsRead) {
       const snapshot = await source.read();
-      this.#contacted();
+      this.#regained();
       state.applySnapshot(snapshot);
+      this.#options.onContact?.();
       this.#needsRead = clock.monotonicMs() < this.#readsUntilMs;
       if (this.#needsRead) {
         await this.#sleep(BATCH_MS);
@@ -103,7 +105,7 @@
     }
     const waitMs = readers.isReader ? READER_WAIT_MS : WATCH_WAIT_MS;
     const changes = await source.watch(state.revision, waitMs);
-    this.#contacted();
+    this.#regained();
     if (!changes) {
       logger.warn('source_history_lost', {
         revision: state.revision,
@@ -113,6 +115,7 @@
       return;
     }
     state.applyChanges(changes);
+    this.#options.onContact?.();
     if (this.#options.isLinkThin && (changes.configCount ?? 1) > 1) {
       // A watch carries every version; in a storm only readings keep up.
       this.#readsUntilMs = clock.monotonicMs() + CATCH_UP_MS;
@@ -123,11 +126,6 @@
     }
   }
 
-  #contacted(): void {
-    this.#regained();
-    this.#options.onContact?.();
-  }
-
   /** The source is heard again, by itself or through its readers. */
   #regained(): void {
     if (this.#failures === 0) {
--- a/fleet/follower/src/state_feed.ts
+++ b/fleet/follower/src/state_feed.ts
@@ -4,6 +4,7 @@
 
 const MAX_WAIT_MS = 2000; // callers that left without a sign are let go by then
 const MIN_HOLD_MS = 600; // of a poll without news; two contacts with the source
+const MAX_CONTACT_AGE_MS = 1500; // a reader that hears less of the source helps nobody
 const MAX_RUN_NUMBER = 2 ** 31 - 1; // two runs share a number once in two thousand million
 
 /** Options of `StateFeed`. */
@@ -71,6 +72,10 @@
     role: FeedRole,
   ): FeedAnswer {
     const {clock, state} = this.#options;
+    const contactAgeMs = Math.min(
+      Number.MAX_SAFE_INTEGER,
+      Math.round(clock.monotonicMs() - this.#contactMs),
+    );
     // A peer that has seen as much of the source needs only what is next.
     const isLevel = state.revision <= request.revision;
     const sequence = isLevel ? state.sequence : undefined;
@@ -82,12 +87,8 @@
       ...update,
       run: this.#run,
       ...role,
-      contactAgeMs: Math.round(
-        Math.min(
-          Number.MAX_SAFE_INTEGER,
-          clock.monotonicMs() - this.#contactMs,
-        ),
-      ),
+      isReader: role.isReader && contactAgeMs <= MAX_CONTACT_AGE_MS,
+      contactAgeMs,
     };
   }
 
--- a/fleet/follower/test/reader_links.test.ts
+++ b/fleet/follower/test/reader_links.test.ts
@@ -117,8 +117,8 @@
 
 const addressOf = (relay: number) => `10.0.0.${relay + 10}:9`;
 
-/** A data centre of relays, the first `WIDE` of which have a wide link. */
-function createDataCentre(count: number) {
+/** A data centre of relays, the first `wide` of which have a wide link. */
+function createDataCentre(count: number, wide = WIDE) {
   const clock = new ManualClock();
   const source = new SharedSource(clock);
   const down = new Set<number>();
@@ -173,7 +173,7 @@
       state,
       logger: silentLogger,
       fetchFeed,
-      canRead: relay < WIDE,
+      canRead: relay < wide,
       ownAddress: addressOf(relay),
       peerAddresses: () =>
         workers
@@ -189,7 +189,7 @@
       peerAddresses: () => [],
       fetchFeed,
       readers: links,
-      isLinkThin: relay >= WIDE,
+      isLinkThin: relay >= wide,
       onContact: () => feed.contacted(),
     });
     return {state, feed, links, follower};
@@ -307,6 +307,21 @@
     centre.close();
   });
 
+  it('takes a third relay as reader while the source is silent to one', async () => {
+    const centre = createDataCentre(9, 3);
+    await centre.clock.advanceAsync(START_MS);
+    const roles = () => centre.relays.map(({links}) => links.isReader);
+    expect(roles().slice(0, 4)).to.deep.equal([true, true, false, false]);
+    centre.source.silentFor.add(0);
+    await centre.clock.advanceAsync(5000);
+    expect(roles().slice(2, 4)).to.deep.equal([true, false]);
+    centre.source.calls.fill(0);
+    await centre.clock.advanceAsync(2000);
+    const [, , , ...thin] = centre.source.calls;
+    expect(thin).to.deep.equal(thin.map(() => 0));
+    centre.close();
+  });
+
   it('guards against one reader that the source leaves without an answer', async () => {
     const centre = createDataCentre(8);
     await centre.clock.advanceAsync(START_MS);
