fix(follower): no whole configurations over thin links from readers

By reading the code: a reader knew only the versions that it had decoded itself, one of those in each watch, so a follower with another one, or any follower of a reader that had just begun, was sent the whole configuration (about 300 kB). Over 5 Mbit/s that takes most of the 600 ms after which the follower gave up, and it asked again. Change: readers decode and remember every version of a watch (16 of them); a reader that does not know a follower's version says so, and the follower reads the store until it does; whole states come only from peers asked while the store is away, with 3 s for them. A reader also answers at once when a follower's version is old though its entries are not.

--- a/config/mesh/src/mesh_state.ts
+++ b/config/mesh/src/mesh_state.ts
@@ -8,7 +8,7 @@
 import type {MeshWorker, SourceRevision, WorkerId} from './mesh_worker.js';
 import {RouteTable} from './route_table.js';
 
-const MAX_RECENT_CONFIGS = 4; // changes of a second, as fast as the users' operators make them
+const MAX_RECENT_CONFIGS = 16; // changes of a second, as fast as the users' operators make them
 const REMOVED_TTL_MS = 60_000; // several times the history that the users' store keeps
 
 /** One change of a worker's entry; `worker` is absent when it was removed. */
@@ -22,6 +22,8 @@
 export interface MeshChanges {
   revision: SourceRevision;
   config?: MeshConfig;
+  /** Versions between the last one and `config`, for peers that have them. */
+  earlierConfigs?: readonly MeshConfig[];
   /** Versions that were read to get at `config`; one when not stated. */
   configCount?: number;
   workers: readonly WorkerChange[];
@@ -36,9 +38,11 @@
   sequence: number;
   /** Every change of the source up to this revision is part of the state. */
   revision: SourceRevision;
-  /** Present when the receiver's version is unknown to the sender. */
+  /** Present when the receiver accepts it and its version is unknown here. */
   config?: MeshConfig;
   configDelta?: ConfigDelta;
+  /** Whether the receiver must get the configuration elsewhere. */
+  lacksVersion: boolean;
   workers: readonly WorkerChange[];
   /** Whether `workers` names every worker. */
   isWhole: boolean;
@@ -149,6 +153,7 @@
     if (changes.revision > this.#revision) {
       this.#revision = changes.revision;
     }
+    changes.earlierConfigs?.forEach(config => this.#remember(config));
     this.#applyConfig(changes.config);
     for (const change of changes.workers) {
       this.#applyWorker(change);
@@ -176,8 +181,13 @@
    * @param sequence place up to which the peer follows this state; undefined
    *     when it did not follow it before.
    * @param version configuration that the peer has; 0 for none.
+   * @param acceptsWhole whether the peer takes a whole configuration.
    */
-  updateSince(sequence: number | undefined, version: number): MeshUpdate {
+  updateSince(
+    sequence: number | undefined,
+    version: number,
+    acceptsWhole: boolean,
+  ): MeshUpdate {
     const isWhole = sequence === undefined;
     const workers: WorkerChange[] = [];
     for (const [id, slot] of this.#slots) {
@@ -188,7 +198,7 @@
     return {
       sequence: this.#sequence,
       revision: this.#settledRevision(),
-      ...this.#configSince(version),
+      ...this.#configSince(version, acceptsWhole),
       workers,
       isWhole,
     };
@@ -218,16 +228,21 @@
     return isFitting;
   }
 
-  #configSince(version: number): Pick<MeshUpdate, 'config' | 'configDelta'> {
+  #configSince(
+    version: number,
+    acceptsWhole: boolean,
+  ): Pick<MeshUpdate, 'config' | 'configDelta' | 'lacksVersion'> {
     const config = this.#config;
     if (!config || config.version <= version) {
-      return {};
+      return {lacksVersion: false};
     }
     const known = this.#recentConfigs.find(
       recent => recent.version === version,
     );
     if (!known) {
-      return {config};
+      return acceptsWhole
+        ? {config, lacksVersion: false}
+        : {lacksVersion: true};
     }
     if (
       this.#lastDelta?.from !== version ||
@@ -235,7 +250,7 @@
     ) {
       this.#lastDelta = diffConfigs(known, config);
     }
-    return {configDelta: this.#lastDelta};
+    return {configDelta: this.#lastDelta, lacksVersion: false};
   }
 
   /** Removals that are held back are not part of the state yet. */
@@ -249,13 +264,17 @@
       return;
     }
     this.#config = config;
+    this.#remember(config);
+    this.#sequence++;
+    this.#routes = new RouteTable(config);
+    this.#options.onChange?.({kind: 'config', version: config.version});
+  }
+
+  #remember(config: MeshConfig): void {
     this.#recentConfigs.push(config);
     if (this.#recentConfigs.length > MAX_RECENT_CONFIGS) {
       this.#recentConfigs.shift();
     }
-    this.#sequence++;
-    this.#routes = new RouteTable(config);
-    this.#options.onChange?.({kind: 'config', version: config.version});
   }
 
   #applyWorker(change: WorkerChange): void {
--- a/config/mesh/test/mesh_state.test.ts
+++ b/config/mesh/test/mesh_state.test.ts
@@ -135,7 +135,7 @@
     const {state, apply} = createState();
     apply(9, createPut(createWorker(), 8));
     const other = createState();
-    other.state.applyUpdate(overWire(state.updateSince(undefined, 0)));
+    other.state.applyUpdate(overWire(state.updateSince(undefined, 0, true)));
     expect(other.ids()).to.deep.equal(['i-1']);
     expect(other.state.revision).to.equal(9);
   });
@@ -162,9 +162,11 @@
           workers: [],
           ...changes,
         });
-      const sync = () => {
+      const sync = (acceptsWhole = true) => {
         const version = behind.state.config?.version ?? 0;
-        const update = overWire(ahead.state.updateSince(sequence, version));
+        const update = overWire(
+          ahead.state.updateSince(sequence, version, acceptsWhole),
+        );
         sequence = update.sequence;
         return {update, isFitting: behind.state.applyUpdate(update)};
       };
@@ -190,14 +192,44 @@
       const {put, sync} = createPair();
       put(1, {config: configOf(1, 'a')});
       sync();
-      for (let version = 2; version < 9; version++) {
+      for (let version = 2; version < 19; version++) {
         put(version, {config: configOf(version, 'a', `v${version}`)});
       }
       const {update, isFitting} = sync();
-      expect(update.config?.version).to.equal(8);
+      expect(update.config?.version).to.equal(18);
       expect(isFitting).to.equal(true);
     });
 
+    it('guards against whole configurations over thin links', () => {
+      const {behind, put, sync} = createPair();
+      put(1, {config: configOf(1, 'a')});
+      sync();
+      for (let version = 2; version < 19; version++) {
+        put(version, {config: configOf(version, 'a', `v${version}`)});
+      }
+      const {update} = sync(false);
+      expect(update.lacksVersion).to.equal(true);
+      expect(update.config).to.equal(undefined);
+      expect(behind.state.config?.version).to.equal(1);
+    });
+
+    it('carries changes to a peer whose version came between two readings', () => {
+      const {ahead, behind, put} = createPair();
+      put(3, {
+        config: configOf(3, 'a', 'c'),
+        earlierConfigs: [configOf(2, 'a')],
+      });
+      behind.state.applyChanges({
+        revision: 2 as SourceRevision,
+        config: configOf(2, 'a'),
+        workers: [],
+      });
+      const update = overWire(ahead.state.updateSince(undefined, 2, false));
+      expect(update.configDelta?.changedRoutes).to.have.length(1);
+      expect(behind.state.applyUpdate(update)).to.equal(true);
+      expect(behind.state.config?.version).to.equal(3);
+    });
+
     it('guards against a delta on another version than its own', () => {
       const {ahead, behind, put} = createPair();
       put(1, {config: configOf(1, 'a')});
@@ -207,7 +239,7 @@
         config: configOf(2, 'a', 'x'),
         workers: [],
       });
-      const update = overWire(ahead.state.updateSince(0, 1));
+      const update = overWire(ahead.state.updateSince(0, 1, true));
       expect(behind.state.applyUpdate(update)).to.equal(false);
       expect(behind.state.config?.version).to.equal(2);
       expect(behind.state.revision, 'to be read again').to.equal(2);
@@ -217,7 +249,7 @@
       const {ahead, behind, put} = createPair();
       put(1, {config: configOf(1, 'a')});
       put(2, {config: configOf(2, 'a', 'b')});
-      const update = overWire(ahead.state.updateSince(0, 1));
+      const update = overWire(ahead.state.updateSince(0, 1, true));
       behind.state.applyChanges({
         revision: 1 as SourceRevision,
         config: configOf(1, 'other', 'x'),
--- a/daemon/relay/src/bin.ts
+++ b/daemon/relay/src/bin.ts
@@ -7,6 +7,7 @@
   StoreSource,
 } from '@carobseam/platform.adapter';
 import {BoundedLog} from './bounded_log.js';
+import {isLinkWide} from './is_link_wide.js';
 import {Relay} from './relay.js';
 
 const EXIT_BAD_SETTINGS = 2;
@@ -24,7 +25,11 @@
   });
   const relay = new Relay({
     settings,
-    source: new StoreSource(new StoreClient(settings.storeAddress), log.logger),
+    source: new StoreSource({
+      client: new StoreClient(settings.storeAddress),
+      logger: log.logger,
+      keepsVersions: isLinkWide(settings),
+    }),
     clock,
     random: new SystemRandom(),
     log,
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -28,10 +28,10 @@
 import type {RelaySettings} from '@carobseam/platform.adapter';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {BoundedLog} from './bounded_log.js';
+import {isLinkWide} from './is_link_wide.js';
 import {listen} from './listen.js';
 import {RequestRecorder} from './request_recorder.js';
 
-const READER_LINK_MBPS = 20; // a large configuration reaches 20 relays within a second
 const ENOUGH_NEIGHBOURS = 6; // with a third of them turned away, one of two asked knows more nine times in ten
 const REMOVAL_GRACE_MS = 2200; // entries of living workers are back within about 2 s
 const WORKER_CONNECT_TIMEOUT_MS = 500; // the worker is on the same VM
@@ -124,7 +124,7 @@
       state: this.#state,
       logger: log.logger,
       fetchFeed,
-      canRead: settings.linkMbps >= READER_LINK_MBPS,
+      canRead: isLinkWide(settings),
       ownAddress: settings.controlAddress,
       peerAddresses: () => this.#neighbourAddresses(),
     });
@@ -137,7 +137,7 @@
       peerAddresses: () => this.#peerAddresses(),
       fetchFeed,
       readers: this.#readers,
-      isLinkThin: settings.linkMbps < READER_LINK_MBPS,
+      isLinkThin: !isLinkWide(settings),
       onContact: () => this.#feed.contacted(),
       onCall: outcome =>
         metrics.increment('carobseam_relay_store_calls_total', {outcome}),
--- a/fleet/follower/src/feed_client.ts
+++ b/fleet/follower/src/feed_client.ts
@@ -3,6 +3,7 @@
 import {FEED_PATH, type FeedAnswer, type FeedRequest} from './feed_types.js';
 
 const ANSWER_MS = 600; // a peer under load answers within a few turns of its loop
+const WHOLE_MS = 3000; // a whole state of 300 kB over a link of 3.5 Mbit/s, with others beside it
 const MAX_BYTES = 16 * 1024 * 1024; // several of the largest configurations
 
 /** Asks peers for changes, over kept connections. */
@@ -24,7 +25,7 @@
       address,
       path: `${FEED_PATH}?${query}`,
       agent: this.#agent,
-      timeoutMs: request.waitMs + ANSWER_MS,
+      timeoutMs: request.waitMs + (request.acceptsWhole ? WHOLE_MS : ANSWER_MS),
       maxBytes: MAX_BYTES,
     });
     if (status !== 200) {
--- a/fleet/follower/src/feed_types.ts
+++ b/fleet/follower/src/feed_types.ts
@@ -9,6 +9,8 @@
   version: number;
   /** Revision of the source that it has. */
   revision: number;
+  /** Whether a whole configuration may come, though the link may be thin. */
+  acceptsWhole: boolean;
   /** How long the peer may wait for a change, in ms; 0 for no wait. */
   waitMs: number;
 }
@@ -36,6 +38,7 @@
     sequence: query.has('sequence') ? numberOf('sequence') : undefined,
     version: numberOf('version'),
     revision: numberOf('revision'),
+    acceptsWhole: query.get('acceptsWhole') === 'true',
     waitMs: numberOf('waitMs'),
   };
 }
--- a/fleet/follower/src/reader_links.ts
+++ b/fleet/follower/src/reader_links.ts
@@ -1,7 +1,7 @@
 import type {MeshState} from '@carobseam/config.mesh';
 import type {Logger} from '@carobseam/core.logger';
 import type {Clock} from '@carobseam/core.types';
-import type {FeedAnswer, FetchFeed} from './feed_types.js';
+import type {FetchFeed} from './feed_types.js';
 
 const READERS = 2; // one may be cut off from the source without a sign
 const MIN_PEERS = 5; // below it, readers save fewer calls than they delay changes
@@ -34,7 +34,6 @@
   run?: string;
   sequence?: number;
   freshUntilMs: number;
-  needsWholeConfig: boolean;
 }
 
 /**
@@ -138,7 +137,7 @@
 
   async #follow(address: string): Promise<void> {
     const {logger, state} = this.#options;
-    const link: Link = {address, freshUntilMs: 0, needsWholeConfig: false};
+    const link: Link = {address, freshUntilMs: 0};
     this.#links.set(address, link);
     let cause = 'closed';
     try {
@@ -171,17 +170,18 @@
     });
   }
 
-  /** @return false when the peer is no reader. */
+  /** @return false when the peer is no reader or does not know the version here. */
   async #poll(link: Link): Promise<boolean> {
     const {clock, fetchFeed, logger, state} = this.#options;
     const answer = await fetchFeed(link.address, {
       run: link.run,
       sequence: link.sequence,
-      version: link.needsWholeConfig ? 0 : (state.config?.version ?? 0),
+      version: state.config?.version ?? 0,
       revision: state.revision,
+      acceptsWhole: false,
       waitMs: link.run === undefined ? 0 : POLL_WAIT_MS,
     });
-    if (this.#isClosed || !answer.isReader) {
+    if (this.#isClosed || !answer.isReader || answer.lacksVersion) {
       this.#hints = answer.readers.length > 0 ? answer.readers : this.#hints;
       return false;
     }
@@ -191,18 +191,14 @@
         revision: answer.revision,
       });
     }
-    this.#apply(link, answer);
-    link.freshUntilMs = clock.monotonicMs() + FRESH_MS - answer.contactAgeMs;
-    return true;
-  }
-
-  #apply(link: Link, answer: FeedAnswer): void {
-    const {state} = this.#options;
     const isFitting = state.applyUpdate(answer);
-    link.needsWholeConfig =
-      !isFitting && answer.configDelta?.from === state.config?.version;
     link.run = answer.run;
     link.sequence = answer.sequence;
+    if (isFitting) {
+      link.freshUntilMs = clock.monotonicMs() + FRESH_MS - answer.contactAgeMs;
+    }
+    // Another reader may have brought a later version in the meantime.
+    return isFitting || answer.configDelta?.from !== state.config?.version;
   }
 
   #freshLinks(): Link[] {
--- a/fleet/follower/src/source_follower.ts
+++ b/fleet/follower/src/source_follower.ts
@@ -183,6 +183,7 @@
       const answer = await fetchFeed(address, {
         version: state.config?.version ?? 0,
         revision,
+        acceptsWhole: true,
         waitMs: 0,
       });
       if (answer.isWhole && answer.revision > state.revision) {
--- a/fleet/follower/src/state_feed.ts
+++ b/fleet/follower/src/state_feed.ts
@@ -59,7 +59,10 @@
   ): Promise<FeedAnswer> {
     const {state} = this.#options;
     const isFollower = request.run === this.#run;
-    const isCurrent = isFollower && request.sequence === state.sequence;
+    const isCurrent =
+      isFollower &&
+      request.sequence === state.sequence &&
+      request.version >= (state.config?.version ?? 0);
     if (isCurrent && role().isReader && request.waitMs > 0) {
       await this.#wait(Math.min(request.waitMs, MAX_WAIT_MS));
     }
@@ -82,6 +85,7 @@
     const update = state.updateSince(
       isFollower ? request.sequence : sequence,
       request.version,
+      request.acceptsWhole,
     );
     return {
       ...update,
--- a/fleet/follower/test/reader_links.test.ts
+++ b/fleet/follower/test/reader_links.test.ts
@@ -25,6 +25,7 @@
 const WIDE = 2;
 const ROUTES = 200;
 const LATENCY_MS = 2;
+const MAX_SPREAD_MS = 2500; // bound of the users' larger deployments
 const START_MS = 6000; // more than a search of the data centre takes
 
 /** The source of all relays; counts the calls of each. */
@@ -257,8 +258,6 @@
     centre.close();
   });
 
-  const MAX_SPREAD_MS = 2500; // bound of the users' larger deployments
-
   it('guards against a reader that ends', async () => {
     const centre = createDataCentre(8);
     await centre.clock.advanceAsync(START_MS);
@@ -287,6 +286,27 @@
     centre.close();
   });
 
+  it('guards against whole configurations from a reader that has just begun', async () => {
+    const centre = createDataCentre(8);
+    await centre.clock.advanceAsync(START_MS);
+    centre.down.add(0).add(1);
+    for (let change = 0; change < 20; change++) {
+      centre.source.change();
+      await centre.clock.advanceAsync(200);
+    }
+    centre.bytes.fill(0);
+    centre.down.clear();
+    for (let change = 0; change < 10; change++) {
+      centre.source.change();
+      await centre.clock.advanceAsync(200);
+    }
+    const whole = JSON.stringify(configOf(1)).length;
+    const [, , ...thin] = centre.bytes;
+    expect(Math.max(...thin)).to.be.below(whole);
+    expect(await spreadMs(centre)).to.be.below(MAX_SPREAD_MS);
+    centre.close();
+  });
+
   it('guards against both readers that end at once', async () => {
     const centre = createDataCentre(8);
     await centre.clock.advanceAsync(START_MS);
--- a/fleet/follower/test/source_follower.test.ts
+++ b/fleet/follower/test/source_follower.test.ts
@@ -90,6 +90,7 @@
         ...peerState,
         sequence: 1,
         isWhole: true,
+        lacksVersion: false,
         run: 'a',
         isReader: false,
         readers: [],
