refactor(net): one place that splits addresses and reports a failed listen

Cause: the change split host:port in eight places in two ways (from the first and from the last colon), and wrote the promise of LISTEN_FAILED a sixth time; five servers had it before, word for word but for endpoint and hint. Change: core/net with splitAddress and startListening; admin server, call server, link server, both stand-ins and the relay use it. Messages, hints and code are those of before. UdpTransport stays: it binds, and takes its listener off again.

--- a/calls/exchange/src/connection_pool.ts
+++ b/calls/exchange/src/connection_pool.ts
@@ -1,3 +1,4 @@
+import {splitAddress} from '@carobseam/core.net';
 import type {Clock} from '@carobseam/core.types';
 import type {
   Exchange,
@@ -37,8 +38,7 @@
  */
 export class ConnectionPool {
   readonly #options: ConnectionPoolOptions;
-  readonly #host: string;
-  readonly #port: number;
+  readonly #target: {host: string; port: number};
   readonly #open = new Set<HttpConnection>();
   #idle: IdleConnection[] = [];
   /** Longest idle time after which a connection is still trusted. */
@@ -47,9 +47,7 @@
   constructor(options: ConnectionPoolOptions) {
     this.#options = options;
     this.#trustedIdleMs = options.idleTtlMs;
-    const colonAt = options.address.lastIndexOf(':');
-    this.#host = options.address.slice(0, colonAt);
-    this.#port = Number(options.address.slice(colonAt + 1));
+    this.#target = splitAddress(options.address);
   }
 
   /** Sends one request over an idle or a new connection. */
@@ -73,7 +71,7 @@
     return this.#open.size === 0;
   }
 
-  /** Closes idle connections whose time is up. */
+  /** Closes idle connections whose time is up; called once a second. */
   closeExpired(): void {
     const {idleTtlMs} = this.#options;
     this.#trustedIdleMs = Math.min(
@@ -117,8 +115,7 @@
 
   #connect(): HttpConnection {
     const connection = new HttpConnection({
-      host: this.#host,
-      port: this.#port,
+      ...this.#target,
       connectTimeoutMs: this.#options.connectTimeoutMs,
       requestIdHeader: this.#options.requestIdHeader,
       onIdle: idle => this.#putIdle(idle),
--- a/calls/proxy/src/call_server.ts
+++ b/calls/proxy/src/call_server.ts
@@ -10,7 +10,7 @@
   refusalDefinitions,
   type RefusalReason,
 } from '@carobseam/calls.types';
-import {CarobseamError} from '@carobseam/core.errors';
+import {startListening} from '@carobseam/core.net';
 import type {Controller, Timer, VmId} from '@carobseam/core.types';
 import {
   createServer,
@@ -65,18 +65,11 @@
   async start(): Promise<void> {
     this.#observe();
     const {address, port} = this.#parts;
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', error =>
-        reject(
-          new CarobseamError({
-            code: 'LISTEN_FAILED',
-            message: `cannot listen on callers endpoint ${address}:${port}`,
-            hint: 'choose a free port as callers.port in the settings',
-            cause: error,
-          }),
-        ),
-      );
-      this.#server.listen(port, address, resolve);
+    await startListening({
+      server: this.#server,
+      listen: done => this.#server.listen(port, address, done),
+      endpoint: `callers endpoint ${address}:${port}`,
+      hint: 'choose a free port as callers.port in the settings',
     });
     this.#publishLoad();
   }
--- a/config/mesh/src/mesh_worker.ts
+++ b/config/mesh/src/mesh_worker.ts
@@ -1,3 +1,4 @@
+import {splitAddress} from '@carobseam/core.net';
 import type {Brand, DataCentreName, ServiceName} from '@carobseam/core.types';
 
 /** Identifier of one worker; mostly new at each start. */
@@ -23,5 +24,5 @@
 
 /** IP address of the VM that a worker runs on. */
 export function vmAddressOf(worker: MeshWorker): string {
-  return worker.address.slice(0, worker.address.lastIndexOf(':'));
+  return splitAddress(worker.address).host;
 }
--- a/core/http_get/src/http_get.ts
+++ b/core/http_get/src/http_get.ts
@@ -1,3 +1,4 @@
+import {splitAddress} from '@carobseam/core.net';
 import http from 'node:http';
 
 /** Options of `httpGet`. */
@@ -25,9 +26,7 @@
  */
 export function httpGet(options: HttpGetOptions): Promise<HttpGetResult> {
   const {path, agent = false, timeoutMs, maxBytes} = options;
-  const colonAt = options.address.lastIndexOf(':');
-  const host = options.address.slice(0, colonAt);
-  const port = Number(options.address.slice(colonAt + 1));
+  const {host, port} = splitAddress(options.address);
   return new Promise((resolve, reject) => {
     const fail = (error: Error) => {
       clearTimeout(timer);
--- /dev/null
+++ b/core/net/src/index.ts
@@ -0,0 +1,2 @@
+export * from './split_address.js';
+export * from './start_listening.js';
--- a/daemon/admin/src/admin_server.ts
+++ b/daemon/admin/src/admin_server.ts
@@ -1,5 +1,5 @@
 import type {DaemonBlackboard} from '@carobseam/core.blackboard';
-import {CarobseamError} from '@carobseam/core.errors';
+import {startListening} from '@carobseam/core.net';
 import type {Metrics} from '@carobseam/core.metrics';
 import type {Controller, DataCentreName, VmId} from '@carobseam/core.types';
 import type {WorkerExplainer} from '@carobseam/calls.routing';
@@ -47,18 +47,11 @@
   /** @throws CarobseamError `LISTEN_FAILED`. */
   async start(): Promise<void> {
     const {address, port} = this.#options;
-    await new Promise<void>((resolve, reject) => {
-      this.#server.server.once('error', error =>
-        reject(
-          new CarobseamError({
-            code: 'LISTEN_FAILED',
-            message: `cannot listen on admin endpoint ${address}:${port}`,
-            hint: 'choose a free port as admin.port in the settings',
-            cause: error,
-          }),
-        ),
-      );
-      this.#server.listen(port, address, resolve);
+    await startListening({
+      server: this.#server.server,
+      listen: done => this.#server.listen(port, address, done),
+      endpoint: `admin endpoint ${address}:${port}`,
+      hint: 'choose a free port as admin.port in the settings',
     });
   }
 
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -16,6 +16,7 @@
   type MeshStateChange,
 } from '@carobseam/config.mesh';
 import type {Metrics} from '@carobseam/core.metrics';
+import {splitAddress} from '@carobseam/core.net';
 import type {Clock, RandomSource, Timer} from '@carobseam/core.types';
 import {
   FEED_PATH,
@@ -100,7 +101,7 @@
     });
     this.#feed = new StateFeed({clock, random, state: this.#state});
     this.#loads = new WorkerLoads(clock);
-    const inboundPort = Number(settings.inboundAddress.split(':')[1]);
+    const inboundPort = splitAddress(settings.inboundAddress).port;
     this.#pools = new PeerPools(clock, inboundPort);
     this.#peers = new PeerHealth({
       clock,
--- a/daemon/relay/test/relay_fixtures.ts
+++ b/daemon/relay/test/relay_fixtures.ts
@@ -9,6 +9,7 @@
 } from '@carobseam/config.mesh';
 import {SeededRandom, SystemClock} from '@carobseam/core.clock';
 import {Metrics} from '@carobseam/core.metrics';
+import {splitAddress} from '@carobseam/core.net';
 import type {
   ConfigVersion,
   DataCentreName,
@@ -184,13 +185,13 @@
   ports: readonly number[],
   source: MeshSource,
 ): Promise<RunningRelay> {
-  const [vmAddress] = worker.address.split(':');
+  const {host: vmAddress} = splitAddress(worker.address);
   const clock = new SystemClock();
   const log = new BoundedLog({clock, base: {}, onDropped: () => {}, fd: -1});
   const relay = new Relay({
     settings: {
       vm: `vm-${vmAddress}` as VmId,
-      vmAddress: vmAddress!,
+      vmAddress,
       dataCentre: 'wien' as DataCentreName,
       service: 'desk' as ServiceName,
       workerAddress: worker.address,
--- a/fleet/link/src/link_server.ts
+++ b/fleet/link/src/link_server.ts
@@ -1,4 +1,5 @@
-import {CarobseamError, describeError} from '@carobseam/core.errors';
+import {describeError} from '@carobseam/core.errors';
+import {startListening} from '@carobseam/core.net';
 import type {Logger} from '@carobseam/core.logger';
 import type {Metrics} from '@carobseam/core.metrics';
 import type {Clock, Controller} from '@carobseam/core.types';
@@ -74,18 +75,11 @@
   /** @throws CarobseamError `LISTEN_FAILED`. */
   async start(): Promise<void> {
     const {address, port} = this.#options;
-    await new Promise<void>((resolve, reject) => {
-      this.#httpServer.once('error', error =>
-        reject(
-          new CarobseamError({
-            code: 'LISTEN_FAILED',
-            message: `cannot listen on fleet endpoint ${address}:${port}`,
-            hint: 'choose a free port as fleet.port in the settings',
-            cause: error,
-          }),
-        ),
-      );
-      this.#httpServer.listen(port, address, resolve);
+    await startListening({
+      server: this.#httpServer,
+      listen: done => this.#httpServer.listen(port, address, done),
+      endpoint: `fleet endpoint ${address}:${port}`,
+      hint: 'choose a free port as fleet.port in the settings',
     });
   }
 
--- a/testing/platform_stand_in/src/stand_in_server.ts
+++ b/testing/platform_stand_in/src/stand_in_server.ts
@@ -1,4 +1,4 @@
-import {CarobseamError} from '@carobseam/core.errors';
+import {startListening} from '@carobseam/core.net';
 import type {Controller} from '@carobseam/core.types';
 import {listedVmSchema} from '@carobseam/config.published_reader';
 import type {AddressInfo, Socket} from 'node:net';
@@ -50,18 +50,11 @@
   /** @throws CarobseamError `LISTEN_FAILED`. */
   async start(): Promise<void> {
     const {address, port} = this.#options;
-    await new Promise<void>((resolve, reject) => {
-      this.#server.server.once('error', error =>
-        reject(
-          new CarobseamError({
-            code: 'LISTEN_FAILED',
-            message: `cannot listen on ${address}:${port}`,
-            hint: 'choose a free port with --port',
-            cause: error,
-          }),
-        ),
-      );
-      this.#server.listen(port, address, resolve);
+    await startListening({
+      server: this.#server.server,
+      listen: done => this.#server.listen(port, address, done),
+      endpoint: `${address}:${port}`,
+      hint: 'choose a free port with --port',
     });
   }
 
--- a/testing/soak/src/soak_mesh.ts
+++ b/testing/soak/src/soak_mesh.ts
@@ -11,6 +11,7 @@
   RandomSource,
   ServiceName,
 } from '@carobseam/core.types';
+import {splitAddress} from '@carobseam/core.net';
 import {StoreStandIn} from '@carobseam/platform.store_stand_in';
 import {ProcessHandle} from '@carobseam/testing.fixtures';
 import {closeSync, mkdtempSync, openSync, writeFileSync} from 'node:fs';
@@ -160,13 +161,9 @@
   async #createVm(index: number): Promise<SoakVm> {
     const {basePort, random, ledger} = this.#options;
     const [host, shown] = [`127.0.10.${index + 1}`, publicHost(index)];
-    const [storeHost, storePort] = this.#storeAddress.split(':');
     const inboundProxy = new FaultProxy({host, port: basePort + 2});
     await inboundProxy.listen(shown, basePort + 2);
-    const storeProxy = new FaultProxy({
-      host: storeHost!,
-      port: Number(storePort),
-    });
+    const storeProxy = new FaultProxy(splitAddress(this.#storeAddress));
     await storeProxy.listen(shown, basePort + 5);
     const settings = {
       vm: `vm-${index}`,
