refactor(relay): derive what was kept twice; index workers on a change only

Cause, found by reading the change again: every reading, also an empty one of a watch or of a reader's answer (about twice a second on a follower), built the index of all workers anew and told the gate and the feed; the feed then kept the sequence a second time to notice that nothing was new. The relay counted the VMs that PeerHealth already holds, two methods listed control addresses with the same loop, InboundHandler repeated three options of RelayContext, the soak wrote a pause twice that node:timers/promises has, and a feed request was written in one file and read in another. Change: MeshState indexes only when its sequence moved, so the feed needs no copy; PeerHealth gives the count; one loop lists addresses; the options are picked from the context; feed_message.ts holds both directions of the request.

--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -1,5 +1,4 @@
 import {discardResponse} from '@carobseam/calls.exchange';
-import type {Clock} from '@carobseam/core.types';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import {forwardedHeaders} from './forwarded_headers.js';
@@ -10,9 +9,9 @@
   toQueuedRequest,
 } from './hop_message.js';
 import {BodyTooLargeError, readBody} from './read_body.js';
-import type {RequestLog} from './request_log.js';
+import type {RelayContext} from './relay_context.js';
 import {sendResponse} from './send_response.js';
-import type {GateResult, GateTicket, WorkerGate} from './worker_gate.js';
+import type {GateResult, GateTicket} from './worker_gate.js';
 
 const FIRST_INTERIM_MS = 150; // below it most responses come by themselves
 const INTERIM_INTERVAL_MS = 200; // two interim responses fit into the silence that a peer accepts
@@ -24,17 +23,10 @@
 ]);
 
 /** Options of `InboundHandler`. */
-export interface InboundHandlerOptions {
-  clock: Clock;
-  gate: WorkerGate;
-  log: RequestLog;
-  /** Whether this relay is about to end. */
-  isLeaving: () => boolean;
-  /** When this relay ends at the latest, on the monotonic clock, in ms. */
-  endsAtMs: () => number;
-  /** Whether this relay is so near its end that it takes nothing new. */
-  isRefusing: () => boolean;
-}
+export type InboundHandlerOptions = Pick<
+  RelayContext,
+  'clock' | 'gate' | 'log' | 'isLeaving' | 'endsAtMs' | 'isRefusing'
+>;
 
 /** Takes requests that other relays send to the worker beside this one. */
 export class InboundHandler {
--- a/calls/relay/src/peer_health.ts
+++ b/calls/relay/src/peer_health.ts
@@ -26,6 +26,11 @@
     this.#options = options;
   }
 
+  /** VMs that are probed now. */
+  get downCount(): number {
+    return this.#down.size;
+  }
+
   isDown(vmAddress: string): boolean {
     return this.#down.has(vmAddress);
   }
--- a/config/mesh/src/mesh_state.ts
+++ b/config/mesh/src/mesh_state.ts
@@ -55,7 +55,7 @@
   removalGraceMs: number;
   /** Called for each change. */
   onChange?: (change: MeshStateChange) => void;
-  /** Called when all changes of a reading are in force. */
+  /** Called when a reading changed something and all of it is in force. */
   onApplied?: () => void;
 }
 
@@ -85,6 +85,8 @@
   readonly #heldRemovals = new Map<WorkerId, SourceRevision>();
   #revision = 0 as SourceRevision;
   #sequence = 0;
+  /** Sequence for which the workers were last indexed. */
+  #indexedSequence = 0;
   #recentConfigs: MeshConfig[] = [];
   #lastDelta?: ConfigDelta;
   #config?: MeshConfig;
@@ -321,6 +323,10 @@
 
   #finish(): void {
     this.#forgetOldRemovals();
+    if (this.#sequence === this.#indexedSequence) {
+      return;
+    }
+    this.#indexedSequence = this.#sequence;
     this.#byAddress = new Map();
     for (const worker of this.workers()) {
       const other = this.#byAddress.get(worker.address);
--- a/config/mesh/test/mesh_state.test.ts
+++ b/config/mesh/test/mesh_state.test.ts
@@ -71,6 +71,23 @@
     expect(told).to.deep.equal([5, 5]);
   });
 
+  it('indexes its workers again only when a reading changed something', () => {
+    let applied = 0;
+    const state = new MeshState({
+      clock: new ManualClock(),
+      removalGraceMs: 2200,
+      onApplied: () => applied++,
+    });
+    const revisionOf = (revision: number) => revision as SourceRevision;
+    const put = createPut(createWorker(), 1);
+    state.applySnapshot({revision: revisionOf(1), workers: [put]});
+    state.applyChanges({revision: revisionOf(2), workers: []});
+    expect(applied).to.equal(1);
+    state.applySnapshot({revision: revisionOf(3), workers: []});
+    expect(applied, 'a reading that only lacks an entry').to.equal(2);
+    expect(state.workersOf(DESK)).to.deep.equal([]);
+  });
+
   it('guards against an entry that a stale reading brings back', () => {
     const {state, apply, ids} = createState();
     apply(1, createPut(createWorker(), 1));
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -14,14 +14,15 @@
   vmAddressOf,
   type MeshSource,
   type MeshStateChange,
+  type MeshWorker,
 } from '@carobseam/config.mesh';
 import type {Metrics} from '@carobseam/core.metrics';
 import {splitAddress} from '@carobseam/core.net';
 import type {Clock, RandomSource, Timer} from '@carobseam/core.types';
 import {
+  decodeFeedRequest,
   FEED_PATH,
   FeedClient,
-  parseFeedRequest,
   ReaderLinks,
   SourceFollower,
   StateFeed,
@@ -84,7 +85,6 @@
   #isLeaving = false;
   #isRefusing = false;
   #endsAtMs = Infinity;
-  #vmsDown = 0;
 
   constructor(options: RelayOptions) {
     const {settings, clock, random, log, metrics} = options;
@@ -298,8 +298,7 @@
 
   #vmChanged(vmAddress: string, change: PeerChange): void {
     const {log, metrics} = this.#options;
-    this.#vmsDown += change === 'down' ? 1 : -1;
-    metrics.set('carobseam_relay_vms_down', this.#vmsDown);
+    metrics.set('carobseam_relay_vms_down', this.#peers.downCount);
     log.logger.info(VM_EVENTS[change], {vmAddress});
   }
 
@@ -307,29 +306,32 @@
   #peerAddresses(): string[] {
     const {settings} = this.#options;
     const neighbours = this.#neighbourAddresses();
-    if (neighbours.length >= ENOUGH_NEIGHBOURS) {
-      return neighbours;
-    }
-    const port = settings.controlAddress.split(':')[1];
-    const addresses = new Set(settings.seedAddresses);
-    for (const worker of this.#state.workers()) {
-      addresses.add(`${vmAddressOf(worker)}:${port}`);
-    }
-    addresses.delete(settings.controlAddress);
-    return [...addresses];
+    return neighbours.length >= ENOUGH_NEIGHBOURS
+      ? neighbours
+      : this.#controlAddresses(this.#state.workers(), settings.seedAddresses);
   }
 
   /** Control addresses of the other relays of this data centre. */
   #neighbourAddresses(): string[] {
-    const {settings} = this.#options;
-    const port = settings.controlAddress.split(':')[1];
-    const addresses = new Set<string>();
-    for (const worker of this.#state.workers()) {
-      if (worker.dataCentre === settings.dataCentre) {
-        addresses.add(`${vmAddressOf(worker)}:${port}`);
-      }
+    const {dataCentre} = this.#options.settings;
+    const workers = [...this.#state.workers()];
+    return this.#controlAddresses(
+      workers.filter(worker => worker.dataCentre === dataCentre),
+    );
+  }
+
+  /** Control addresses of the relays beside workers, without this one's. */
+  #controlAddresses(
+    workers: Iterable<MeshWorker>,
+    further: readonly string[] = [],
+  ): string[] {
+    const {controlAddress} = this.#options.settings;
+    const {port} = splitAddress(controlAddress);
+    const addresses = new Set(further);
+    for (const worker of workers) {
+      addresses.add(`${vmAddressOf(worker)}:${port}`);
     }
-    addresses.delete(settings.controlAddress);
+    addresses.delete(controlAddress);
     return [...addresses];
   }
 
@@ -359,7 +361,7 @@
       return;
     }
     const answer = await this.#feed.answer(
-      parseFeedRequest(url.searchParams),
+      decodeFeedRequest(url.searchParams),
       () => ({
         isReader: this.#readers.isReader,
         readers: this.#readers.readers,
--- a/fleet/follower/src/feed_client.ts
+++ b/fleet/follower/src/feed_client.ts
@@ -1,6 +1,11 @@
 import {httpGet} from '@carobseam/core.http_get';
 import http from 'node:http';
-import {FEED_PATH, type FeedAnswer, type FeedRequest} from './feed_types.js';
+import {
+  encodeFeedRequest,
+  FEED_PATH,
+  type FeedAnswer,
+  type FeedRequest,
+} from './feed_message.js';
 
 const ANSWER_MS = 600; // a peer under load answers within a few turns of its loop
 const WHOLE_MS = 3000; // a whole state of 300 kB over a link of 3.5 Mbit/s, with others beside it
@@ -15,15 +20,9 @@
    * @throws Error when the peer does not answer in time.
    */
   async fetch(address: string, request: FeedRequest): Promise<FeedAnswer> {
-    const query = new URLSearchParams();
-    for (const [name, value] of Object.entries(request)) {
-      if (value !== undefined) {
-        query.set(name, String(value));
-      }
-    }
     const {status, body} = await httpGet({
       address,
-      path: `${FEED_PATH}?${query}`,
+      path: `${FEED_PATH}?${encodeFeedRequest(request)}`,
       agent: this.#agent,
       timeoutMs: request.waitMs + (request.acceptsWhole ? WHOLE_MS : ANSWER_MS),
       maxBytes: MAX_BYTES,
--- a/fleet/follower/src/feed_types.ts
+++ b/fleet/follower/src/feed_message.ts
@@ -30,8 +30,19 @@
 /** Path under which relays give changes to peers. */
 export const FEED_PATH = '/changes';
 
-/** Reads the query that `FeedClient` writes. */
-export function parseFeedRequest(query: URLSearchParams): FeedRequest {
+/** Writes a request as a query. */
+export function encodeFeedRequest(request: FeedRequest): URLSearchParams {
+  const query = new URLSearchParams();
+  for (const [name, value] of Object.entries(request)) {
+    if (value !== undefined) {
+      query.set(name, String(value));
+    }
+  }
+  return query;
+}
+
+/** Reads the query of a request. */
+export function decodeFeedRequest(query: URLSearchParams): FeedRequest {
   const numberOf = (name: string) => Number(query.get(name) ?? 0);
   return {
     run: query.get('run') ?? undefined,
--- a/fleet/follower/src/reader_links.ts
+++ b/fleet/follower/src/reader_links.ts
@@ -1,7 +1,7 @@
 import type {MeshState} from '@carobseam/config.mesh';
 import type {Logger} from '@carobseam/core.logger';
 import type {Clock} from '@carobseam/core.types';
-import type {FetchFeed} from './feed_types.js';
+import type {FetchFeed} from './feed_message.js';
 
 const READERS = 2; // one may be cut off from the source without a sign
 const MIN_PEERS = 5; // below it, readers save fewer calls than they delay changes
--- a/fleet/follower/src/source_follower.ts
+++ b/fleet/follower/src/source_follower.ts
@@ -1,7 +1,7 @@
 import type {MeshSource, MeshState} from '@carobseam/config.mesh';
 import type {Logger} from '@carobseam/core.logger';
 import type {Clock, RandomSource, Timer} from '@carobseam/core.types';
-import type {FetchFeed} from './feed_types.js';
+import type {FetchFeed} from './feed_message.js';
 
 const WATCH_WAIT_MS = 2500; // a silent connection is noticed before the drain bound has passed twice
 const READER_WAIT_MS = 600; // followers notice within 1.2 s that the source is silent
--- a/fleet/follower/src/state_feed.ts
+++ b/fleet/follower/src/state_feed.ts
@@ -1,6 +1,6 @@
 import type {MeshState} from '@carobseam/config.mesh';
 import type {Clock, RandomSource, Timer} from '@carobseam/core.types';
-import type {FeedAnswer, FeedRequest} from './feed_types.js';
+import type {FeedAnswer, FeedRequest} from './feed_message.js';
 
 const MAX_WAIT_MS = 2000; // callers that left without a sign are let go by then
 const MIN_HOLD_MS = 600; // of a poll without news; two contacts with the source
@@ -25,7 +25,6 @@
   readonly #options: StateFeedOptions;
   readonly #run: string;
   readonly #waiting = new Set<Waiting>();
-  #toldSequence = 0;
   #contactMs = -Infinity;
 
   constructor(options: StateFeedOptions) {
@@ -40,13 +39,9 @@
     this.#answerWaiting(({sinceMs}) => nowMs - sinceMs >= MIN_HOLD_MS);
   }
 
-  /** Answers every peer that waits, if the state has changed. */
+  /** The state has changed: answers every peer that waits. */
   applied(): void {
-    const {sequence} = this.#options.state;
-    if (sequence !== this.#toldSequence) {
-      this.#toldSequence = sequence;
-      this.#answerWaiting(() => true);
-    }
+    this.#answerWaiting(() => true);
   }
 
   /**
--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -2,6 +2,7 @@
 import type {RandomSource} from '@carobseam/core.types';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import http from 'node:http';
+import {setTimeout as pause} from 'node:timers/promises';
 import {Ledger} from './ledger.js';
 import {SoakCaller, type SoakCounts} from './soak_caller.js';
 import {harm, meshFaults, vmFaults, type FaultContext} from './soak_faults.js';
@@ -205,9 +206,6 @@
   return new Date().toISOString();
 }
 
-const pause = (durationMs: number) =>
-  new Promise<void>(resolve => setTimeout(resolve, durationMs));
-
 /** @return the status, or undefined when there was no answer. */
 async function probe(vm: SoakVm, path: string): Promise<number | undefined> {
   const {host, port} = vm.outbound;
--- a/testing/soak/src/soak_caller.ts
+++ b/testing/soak/src/soak_caller.ts
@@ -1,6 +1,7 @@
 import type {RandomSource} from '@carobseam/core.types';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import http from 'node:http';
+import {setTimeout as pause} from 'node:timers/promises';
 import type {Ledger} from './ledger.js';
 import {isCalmSince, SOAK_HOST, type SoakVm} from './soak_mesh.js';
 import {bodyOf, sealOf} from './soak_worker.js';
@@ -58,8 +59,7 @@
     const {random} = this.#options;
     while (!this.#isStopped) {
       await this.#call();
-      const pauseMs = random.nextFloat() * MAX_PAUSE_MS;
-      await new Promise(resolve => setTimeout(resolve, pauseMs));
+      await pause(random.nextFloat() * MAX_PAUSE_MS);
     }
     this.#agent.destroy();
   }
--- a/testing/soak/src/soak_faults.ts
+++ b/testing/soak/src/soak_faults.ts
@@ -1,4 +1,5 @@
 import type {RandomSource} from '@carobseam/core.types';
+import {setTimeout as pause} from 'node:timers/promises';
 import type {LinkMood} from './fault_proxy.js';
 import {
   DRAIN_MS,
@@ -27,9 +28,6 @@
 type VmFault = (vm: SoakVm, context: FaultContext) => Promise<void>;
 type MeshFault = (context: FaultContext) => Promise<void>;
 
-const pause = (durationMs: number) =>
-  new Promise<void>(resolve => setTimeout(resolve, durationMs));
-
 function faultMs(random: RandomSource): number {
   return MIN_FAULT_MS + random.nextFloat() * (MAX_FAULT_MS - MIN_FAULT_MS);
 }
