fix(relay): use a VM again only once its relay responds

Cause: a VM that was found silent was probed with a TCP connection, which the kernel accepts also for a process without processor time. The VM was up again within milliseconds, its old load report had expired, and it looked idle.

The probe is now an OPTIONS * request that the relay itself must answer within 300 ms. Probes that connect but are not answered are repeated at growing intervals, so that 90 relays do not keep an overloaded one busy with probes. The new test, a listener that accepts and never responds, found the VM 'up' after the first probe before.

--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import {forwardedHeaders} from './forwarded_headers.js';
+import {respondToHealthProbe} from './health_probe.js';
 import {
   decodeHopRequest,
   encodeHopResponse,
@@ -14,7 +15,7 @@
 import type {GateResult, GateTicket} from './worker_gate.js';
 
 const FIRST_INTERIM_MS = 150; // most responses arrive sooner
-const INTERIM_INTERVAL_MS = 200; // two may be late before the sender's inactivity timeout ends the exchange
+const INTERIM_INTERVAL_MS = 200; // two may be late before the hop counts as silent
 const MAX_BODY_BYTES = 1024 * 1024 * 1024; // the sending relay has applied the caller's limit
 const EXCLUDED_HEADERS = new Set<string>([
   hopHeaders.request,
@@ -71,8 +72,10 @@
       request.headers[hopHeaders.request] as string | undefined,
     );
     if (!hop) {
-      response.writeHead(400);
-      response.end();
+      if (!respondToHealthProbe(request, response)) {
+        response.writeHead(400);
+        response.end();
+      }
       return;
     }
     const scheduling = toQueuedRequest(hop, clock.monotonicMs());
@@ -109,7 +112,7 @@
 
   /**
    * Sends interim responses while the request is in progress, so that the
-   * sending relay does not run into its inactivity timeout.
+   * sending relay does not take the hop for silent.
    */
   #sendInterimResponses(response: ServerResponse, ticket: GateTicket): void {
     const {clock} = this.#options;
--- a/calls/relay/src/peer_health.ts
+++ b/calls/relay/src/peer_health.ts
@@ -1,8 +1,11 @@
 import type {Clock, Timer} from '@carobseam/core.types';
-import net from 'node:net';
+import http from 'node:http';
+import {HEALTH_PROBE} from './health_probe.js';
 
 const PROBE_INTERVAL_MS = 300; // a restarted relay listens within a second
-const PROBE_TIMEOUT_MS = 300; // connecting to another data centre takes a few ms
+const MAX_PROBE_INTERVAL_MS = 1200; // spares a relay that is overloaded
+const PROBE_TIMEOUT_MS = 300; // a response from another data centre takes a few ms
+const UNREACHABLE_PROBES = 2; // a single SYN packet may be lost
 
 /** Options of `PeerHealth`. */
 export interface PeerHealthOptions {
@@ -19,13 +22,26 @@
 /** Change of the health of a VM. */
 export type PeerChange = 'down' | 'up' | 'left';
 
+interface DownVm {
+  timer?: Timer;
+  intervalMs: number;
+  /** Probes in a row that found no connection. */
+  failedConnections: number;
+}
+
+/** Result of one probe. */
+type ProbeResult = 'answered' | 'unanswered' | 'notConnected';
+
 /**
  * Active health checks of the VMs that failed. A VM to which a request failed
- * counts as down and is probed until it accepts a connection.
+ * counts as down and is probed until its relay responds. An accepted connection
+ * is not enough, because the kernel also accepts those of a process that has no
+ * processor time.
  */
 export class PeerHealth {
   readonly #options: PeerHealthOptions;
-  readonly #down = new Map<string, Timer | undefined>();
+  readonly #down = new Map<string, DownVm>();
+  readonly #lastAnswerMs = new Map<string, number>();
   #isClosed = false;
 
   constructor(options: PeerHealthOptions) {
@@ -41,17 +57,34 @@
     return this.#down.has(vmAddress);
   }
 
-  /** Marks a VM as down and probes it until it accepts a connection. */
+  /** Whether a VM is down and does not accept connections either. */
+  isUnreachable(vmAddress: string): boolean {
+    const vm = this.#down.get(vmAddress);
+    return vm !== undefined && vm.failedConnections >= UNREACHABLE_PROBES;
+  }
+
+  /**
+   * Time of the last response to a probe, on the monotonic clock, in ms;
+   * -Infinity before the first one.
+   */
+  lastAnswerMs(vmAddress: string): number {
+    return this.#lastAnswerMs.get(vmAddress) ?? -Infinity;
+  }
+
+  /** Marks a VM as down and probes it until its relay responds. */
   markDown(vmAddress: string): void {
     if (this.#isClosed || this.#down.has(vmAddress)) {
       return;
     }
-    this.#down.set(vmAddress, undefined);
+    this.#down.set(vmAddress, {
+      intervalMs: PROBE_INTERVAL_MS,
+      failedConnections: 0,
+    });
     this.#options.onChange(vmAddress, 'down');
     this.#probe(vmAddress);
   }
 
-  /** Stops probing the VMs that are not in the given set. */
+  /** Forgets the VMs that are not in the given set. */
   retainOnly(vmAddresses: ReadonlySet<string>): void {
     for (const vmAddress of [...this.#down.keys()]) {
       if (!vmAddresses.has(vmAddress)) {
@@ -59,6 +92,11 @@
         this.#options.onChange(vmAddress, 'left');
       }
     }
+    for (const vmAddress of this.#lastAnswerMs.keys()) {
+      if (!vmAddresses.has(vmAddress)) {
+        this.#lastAnswerMs.delete(vmAddress);
+      }
+    }
   }
 
   close(): void {
@@ -69,41 +107,58 @@
   }
 
   #stopProbing(vmAddress: string): void {
-    this.#down.get(vmAddress)?.cancel();
+    this.#down.get(vmAddress)?.timer?.cancel();
     this.#down.delete(vmAddress);
   }
 
   #probe(vmAddress: string): void {
-    const socket = net.connect({host: vmAddress, port: this.#options.port});
-    const finish = (isUp: boolean) => {
-      timer.cancel();
-      socket.removeAllListeners();
-      // A later reset must not raise an unhandled error event.
-      socket.on('error', () => {});
-      socket.destroy();
-      this.#handleProbeResult(vmAddress, isUp);
-    };
+    let result: ProbeResult = 'notConnected';
+    const request = http.request({
+      host: vmAddress,
+      port: this.#options.port,
+      method: HEALTH_PROBE.method,
+      path: HEALTH_PROBE.url,
+      agent: false,
+    });
     const timer = this.#options.clock.setTimer(PROBE_TIMEOUT_MS, () =>
-      finish(false),
+      // After a delay of the event loop, timers run before sockets are read.
+      setImmediate(() => request.destroy()),
+    );
+    request.on('socket', socket =>
+      socket.on('connect', () => (result = 'unanswered')),
     );
-    socket.on('connect', () => finish(true));
-    socket.on('error', () => finish(false));
+    request.on('response', response => {
+      result = 'answered';
+      response.destroy();
+    });
+    request.on('error', () => {});
+    request.on('close', () => {
+      timer.cancel();
+      this.#handleProbeResult(vmAddress, result);
+    });
+    request.end();
   }
 
-  #handleProbeResult(vmAddress: string, isUp: boolean): void {
-    if (!this.#down.has(vmAddress)) {
+  #handleProbeResult(vmAddress: string, result: ProbeResult): void {
+    const vm = this.#down.get(vmAddress);
+    if (!vm) {
       return;
     }
-    if (isUp) {
+    if (result === 'answered') {
       this.#down.delete(vmAddress);
+      this.#lastAnswerMs.set(vmAddress, this.#options.clock.monotonicMs());
       this.#options.onChange(vmAddress, 'up');
       return;
     }
-    this.#down.set(
-      vmAddress,
-      this.#options.clock.setTimer(PROBE_INTERVAL_MS, () =>
-        this.#probe(vmAddress),
-      ),
+    vm.timer = this.#options.clock.setTimer(vm.intervalMs, () =>
+      this.#probe(vmAddress),
     );
+    if (result === 'notConnected') {
+      vm.failedConnections++;
+      vm.intervalMs = PROBE_INTERVAL_MS;
+    } else {
+      vm.failedConnections = 0;
+      vm.intervalMs = Math.min(MAX_PROBE_INTERVAL_MS, vm.intervalMs * 2);
+    }
   }
 }
--- a/calls/relay/test/peer_health.test.ts
+++ b/calls/relay/test/peer_health.test.ts
@@ -1,6 +1,7 @@
 import {PeerHealth} from '@carobseam/calls.relay';
 import {SystemClock} from '@carobseam/core.clock';
 import {expect} from 'chai';
+import http from 'node:http';
 import net from 'node:net';
 
 const VM = '127.0.0.61';
@@ -49,10 +50,38 @@
     listener.close();
   });
 
-  it('marks a VM as up once it accepts a connection', async () => {
+  it('guards against using a VM again whose kernel accepts connections but whose relay does not respond', async () => {
     const {health, changes, port} = await createHealth();
     health.markDown(VM);
-    const listener = net.createServer(socket => socket.destroy());
+    const sockets = new Set<net.Socket>();
+    const listener = net.createServer(socket => sockets.add(socket));
+    await new Promise<void>(resolve => {
+      listener.listen(port, VM, resolve);
+    });
+    await waitForProbe();
+    await waitForProbe();
+    expect(sockets.size).to.be.above(0);
+    expect(changes).to.deep.equal([`${VM} down`]);
+    expect(health.isUnreachable(VM)).to.equal(false);
+    health.close();
+    sockets.forEach(socket => socket.destroy());
+    listener.close();
+  });
+
+  it('guards against waiting for a VM that refuses connections', async () => {
+    const {health} = await createHealth();
+    health.markDown(VM);
+    expect(health.isUnreachable(VM)).to.equal(false);
+    await waitForProbe();
+    await waitForProbe();
+    expect(health.isUnreachable(VM)).to.equal(true);
+    health.close();
+  });
+
+  it('marks a VM as up once its relay responds', async () => {
+    const {health, changes, port} = await createHealth();
+    health.markDown(VM);
+    const listener = http.createServer((_request, response) => response.end());
     await new Promise<void>(resolve => {
       listener.listen(port, VM, resolve);
     });
