fix(relay): silence of a hop does not end a request

Cause: after 600 ms without a byte from the worker's relay the exchange was cancelled, whether or not a retry followed. With the retry budget exhausted none did (4,277 of 4,950 silent hops), so the cancelled attempt, which its worker had just begun or was about to begin, was the last one.

Silence is now an observation and not an end. The VM is marked as down, so that new requests go elsewhere; an idempotent request is sent to another worker beside the silent attempt, if the budget allows it then or later, and the first response wins. Without a retry, or after a failed one, the silent attempt is waited for until the deadline. A hop ends as silent only when no response can come: its VM refuses connections, or its relay has answered a probe a second ago and still sends nothing here. Hops of requests that are not idempotent are watched too, for the placement of others.

The test of the inactivity timeout is replaced by one with the same expectation (the observer ends the exchange, 'silent').

--- a/calls/exchange/src/connection_pool.ts
+++ b/calls/exchange/src/connection_pool.ts
@@ -4,6 +4,7 @@
   Exchange,
   ExchangeRequest,
   ExchangeResult,
+  FailureReason,
 } from './exchange_types.js';
 import {HttpConnection} from './http_connection.js';
 
@@ -59,7 +60,7 @@
     const connection = idle?.connection ?? this.#connect();
     const result = new Promise<ExchangeResult>(resolve =>
       connection.send(request, outcome => {
-        if (idleMs !== undefined && isConnectionLost(outcome)) {
+        if (idleMs !== undefined && hasReason(outcome, 'connection_lost')) {
           this.#lowerMaxReuseIdle(idleMs);
         }
         resolve(outcome);
@@ -149,6 +150,6 @@
   }
 }
 
-function isConnectionLost(result: ExchangeResult): boolean {
-  return result.kind !== 'response' && result.reason === 'connection_lost';
+function hasReason(result: ExchangeResult, reason: FailureReason): boolean {
+  return result.kind !== 'response' && result.reason === reason;
 }
--- a/calls/exchange/src/exchange_types.ts
+++ b/calls/exchange/src/exchange_types.ts
@@ -12,8 +12,8 @@
    * request.
    */
   requestId?: string;
-  /** Ends the exchange when no byte was received for this time, in ms. */
-  inactivityTimeoutMs?: number;
+  /** Observes the silence of the server; without it, silence has no effect. */
+  silenceWatch?: SilenceWatch;
   /**
    * Forces a new connection, because a reused one may be closed by the server
    * while it is idle.
@@ -21,6 +21,19 @@
   needsNewConnection?: boolean;
 }
 
+/** Observes that the server sends nothing while a response is expected. */
+export interface SilenceWatch {
+  /** Time without a received byte after which each report is made, in ms. */
+  intervalMs: number;
+  /**
+   * Called once per interval until a byte arrives.
+   *
+   * @param silentMs time since the last byte or since the request was sent.
+   * @return whether to keep waiting, or to end the exchange as `silent`.
+   */
+  onSilent: (silentMs: number) => 'wait' | 'end';
+}
+
 /** A response; a large body is a stream that is still being received. */
 export interface ExchangeResponse {
   kind: 'response';
--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -20,7 +20,9 @@
   chunks: Buffer[];
   bytes: number;
   stream?: Readable;
-  inactivityTimer?: NodeJS.Timeout;
+  silenceTimer?: NodeJS.Timeout;
+  /** Reports of silence since the last received byte. */
+  silentIntervals: number;
 }
 
 /** Options of `HttpConnection`. */
@@ -90,6 +92,7 @@
       isBodySent: false,
       chunks: [],
       bytes: 0,
+      silentIntervals: 0,
     };
     if (this.#isConnected) {
       this.#write(this.#current);
@@ -123,7 +126,7 @@
       lines.push(`${request.headers[index]}: ${request.headers[index + 1]}`);
     }
     current.isWritten = true;
-    this.#restartInactivityTimer(current);
+    this.#restartSilenceTimer(current);
     if (request.body instanceof Readable) {
       lines.push('Transfer-Encoding: chunked');
       this.#socket.write(`${lines.join('\r\n')}\r\n\r\n`, 'latin1');
@@ -184,7 +187,7 @@
       this.close();
       return;
     }
-    this.#restartInactivityTimer(this.#current);
+    this.#restartSilenceTimer(this.#current);
     try {
       this.#reader.read(chunk);
     } catch {
@@ -238,7 +241,7 @@
 
   /** Delivers the response with its large body as a stream. */
   #startStream(current: PendingExchange): void {
-    clearTimeout(current.inactivityTimer);
+    clearTimeout(current.silenceTimer);
     current.stream = new Readable({
       read: () => this.#socket.resume(),
       destroy: (error, done) => {
@@ -270,7 +273,7 @@
       return;
     }
     this.#current = undefined;
-    clearTimeout(current.inactivityTimer);
+    clearTimeout(current.silenceTimer);
     if (current.stream) {
       current.stream.push(null);
     } else {
@@ -336,7 +339,7 @@
     if (!current) {
       return;
     }
-    clearTimeout(current.inactivityTimer);
+    clearTimeout(current.silenceTimer);
     if (current.stream) {
       current.stream.destroy(new Error(`response ended early: ${reason}`));
       return;
@@ -347,19 +350,32 @@
     current.onResult({kind, reason});
   }
 
-  #restartInactivityTimer(current: PendingExchange): void {
-    const {inactivityTimeoutMs} = current.request;
-    if (inactivityTimeoutMs === undefined || current.stream) {
+  #restartSilenceTimer(current: PendingExchange): void {
+    const {silenceWatch} = current.request;
+    if (!silenceWatch || current.stream) {
       return;
     }
-    if (current.inactivityTimer) {
-      current.inactivityTimer.refresh();
-    } else {
-      current.inactivityTimer = setTimeout(() => {
-        if (this.#current === current) {
-          this.#fail('silent');
-        }
-      }, inactivityTimeoutMs);
+    current.silentIntervals = 0;
+    if (current.silenceTimer) {
+      current.silenceTimer.refresh();
+      return;
+    }
+    current.silenceTimer = setTimeout(
+      () => this.#reportSilence(current),
+      silenceWatch.intervalMs,
+    );
+  }
+
+  #reportSilence(current: PendingExchange): void {
+    const {silenceWatch} = current.request;
+    if (this.#current !== current || current.stream) {
+      return;
+    }
+    current.silentIntervals++;
+    current.silenceTimer!.refresh();
+    const silentMs = current.silentIntervals * silenceWatch!.intervalMs;
+    if (silenceWatch!.onSilent(silentMs) === 'end') {
+      this.#fail('silent');
     }
   }
 }
--- a/calls/exchange/test/connection_pool.test.ts
+++ b/calls/exchange/test/connection_pool.test.ts
@@ -2,6 +2,7 @@
   ConnectionPool,
   type ExchangeRequest,
   type ExchangeResult,
+  type SilenceWatch,
 } from '@carobseam/calls.exchange';
 import {SystemClock} from '@carobseam/core.clock';
 import {expect} from 'chai';
@@ -51,6 +52,12 @@
   }
 }
 
+/** Ends an exchange at the first report of silence. */
+const endAfter = (intervalMs: number): SilenceWatch => ({
+  intervalMs,
+  onSilent: () => 'end',
+});
+
 async function describeResult(result: ExchangeResult): Promise<string> {
   if (result.kind !== 'response') {
     return `${result.kind}: ${result.reason}`;
@@ -198,17 +205,34 @@
     );
   });
 
-  it('ends the exchange at the inactivity timeout of the request', async () => {
+  it('ends a silent exchange when its observer decides so', async () => {
     await withWorker(
       () => {},
       async send => {
-        expect(await send('a', {inactivityTimeoutMs: 50})).to.equal(
+        expect(await send('a', {silenceWatch: endAfter(50)})).to.equal(
           'unknown: silent',
         );
       },
     );
   });
 
+  it('guards against ending an exchange because the server is slow', async () => {
+    const reportsMs: number[] = [];
+    const onSilent = (silentMs: number) => {
+      reportsMs.push(silentMs);
+      return 'wait' as const;
+    };
+    await withWorker(
+      (socket, id) =>
+        setTimeout(() => socket.write(framedResponse(id, 'done')), 230),
+      async send => {
+        const silenceWatch = {intervalMs: 50, onSilent};
+        expect(await send('a', {silenceWatch})).to.equal('200 done');
+        expect(reportsMs.slice(0, 3)).to.deep.equal([50, 100, 150]);
+      },
+    );
+  });
+
   it('guards against taking an interim response for the final response', async () => {
     await withWorker(
       (socket, id) => {
@@ -222,7 +246,7 @@
         }, 200);
       },
       async send => {
-        expect(await send('a', {inactivityTimeoutMs: 100})).to.equal(
+        expect(await send('a', {silenceWatch: endAfter(100)})).to.equal(
           '200 done',
         );
       },
--- a/calls/relay/src/request_dispatcher.ts
+++ b/calls/relay/src/request_dispatcher.ts
@@ -1,4 +1,5 @@
 import {
+  discardResponse,
   headerValue,
   type ExchangeFailure,
   type ExchangeResponse,
@@ -7,6 +8,7 @@
   chooseWorker,
   decideNextStep,
   type AttemptOutcome,
+  type NextStep,
   type WorkerChoice,
 } from '@carobseam/calls.placement';
 import {priorityClassOf} from '@carobseam/calls.worker_queue';
@@ -16,6 +18,7 @@
   type MeshWorker,
   type WorkerId,
 } from '@carobseam/config.mesh';
+import type {LogFields} from '@carobseam/core.logger';
 import type {ServiceName} from '@carobseam/core.types';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import {Readable} from 'node:stream';
@@ -29,7 +32,9 @@
 import type {RelayContext} from './relay_context.js';
 import type {GateResult} from './worker_gate.js';
 
-const HOP_INACTIVITY_TIMEOUT_MS = 600; // the worker's relay sends an interim response every 200 ms; two may be late
+const SILENCE_INTERVAL_MS = 300; // half of the time until a hop counts as silent, so that a denied retry is tried again soon
+const SILENT_HOP_MS = 600; // the worker's relay sends an interim response every 200 ms; two may be late
+const DEAD_CONNECTION_MS = 1000; // a relay that answers probes sends an interim response well within this time
 
 /** A request from a caller, with its route. */
 export interface DispatchedRequest {
@@ -59,38 +64,53 @@
   | {kind: 'refused'; reason: string; waitMs: number; serviceMs: number}
   | {kind: 'unknown'; reason: string};
 
-interface Attempt {
+interface AttemptResult {
   outcome: AttemptOutcome;
   reason: string;
   waitMs: number;
   response?: ExchangeResponse;
 }
 
+/** An attempt in progress. */
+interface Attempt {
+  worker: MeshWorker;
+  cancel: () => void;
+  /** When the hop was first found silent, on the monotonic clock, in ms. */
+  silentSinceMs?: number;
+  /** Whether another attempt was started because this one is silent. */
+  isHedged: boolean;
+}
+
 /**
  * Dispatches one request: sends it to a worker and retries with other workers
- * until there is a response or no further attempt is allowed.
+ * until there is a response or no further attempt is allowed. An attempt whose
+ * hop is silent stays in progress beside its retry, because a relay that is
+ * short of processor time may have the request run and still respond.
  */
 export class RequestDispatcher {
   readonly #context: RelayContext;
   readonly #request: DispatchedRequest;
   readonly #triedWorkerIds = new Set<WorkerId>();
+  readonly #attempts = new Set<Attempt>();
   #sentAttempts = 0;
   #unsentAttempts = 0;
   #mayHaveRun = false;
+  #isCountedForBudget = false;
   #isCancelled = false;
+  #isSettled = false;
   #shortestWaitMs = Infinity;
   #failedResponse?: ExchangeResponse;
-  #cancelAttempt: () => void = () => {};
+  #resolve: (result: DispatchResult) => void = () => {};
 
   constructor(context: RelayContext, request: DispatchedRequest) {
     this.#context = context;
     this.#request = request;
   }
 
-  /** Cancels the attempt in flight and prevents retries. */
+  /** Cancels the attempts in progress and prevents retries. */
   cancel(): void {
     this.#isCancelled = true;
-    this.#cancelAttempt();
+    this.#cancelAttempts();
   }
 
   /** Whether a worker may have run the request or may still run it. */
@@ -99,20 +119,33 @@
   }
 
   /** Sends the request; must be called once. */
-  async dispatch(): Promise<DispatchResult> {
-    for (;;) {
-      const choice = this.#chooseWorker();
-      if (!choice) {
-        return this.#giveUp(this.#noWorkerReason(), this.#shortestWaitMs);
-      }
-      const attempt = await this.#makeAttempt(choice);
-      const result = this.#handleAttempt(attempt, choice.worker);
-      if (result) {
-        return result;
-      }
+  dispatch(): Promise<DispatchResult> {
+    return new Promise(resolve => {
+      this.#resolve = resolve;
+      this.#startAttempt();
+    });
+  }
+
+  /** Sends the request to the next worker, if there is one. */
+  #startAttempt(): void {
+    const choice = this.#chooseWorker();
+    if (choice) {
+      void this.#makeAttempt(choice);
+    } else if (this.#attempts.size === 0) {
+      this.#settle(this.#giveUp(this.#noWorkerReason(), this.#shortestWaitMs));
     }
   }
 
+  #settle(result: DispatchResult): void {
+    this.#isSettled = true;
+    this.#resolve(result);
+    this.#cancelAttempts();
+  }
+
+  #cancelAttempts(): void {
+    this.#attempts.forEach(attempt => attempt.cancel());
+  }
+
   #chooseWorker(): WorkerChoice | undefined {
     const context = this.#context;
     const request = this.#request;
@@ -135,26 +168,38 @@
     return workerCount > this.#triedWorkerIds.size ? 'allFull' : 'noWorker';
   }
 
-  /** Returns the result after an attempt, or undefined to make another one. */
-  #handleAttempt(
-    attempt: Attempt,
-    worker: MeshWorker,
-  ): DispatchResult | undefined {
-    const {retryBudgets, clock, log, state} = this.#context;
-    const {route, service} = this.#request;
-    const step = decideNextStep({
-      outcome: attempt.outcome,
+  #handleResult(attempt: Attempt, result: AttemptResult): void {
+    if (this.#isSettled) {
+      discardResponse(result.response);
+      return;
+    }
+    const step = this.#decideNextStep(result);
+    if (result.outcome !== 'answered') {
+      this.#context.log.attemptFailed(result.outcome, {
+        ...this.#describe(attempt),
+        reason: result.reason,
+        outcome: step,
+      });
+    }
+    this.#takeStep(step, result);
+  }
+
+  #decideNextStep(result: AttemptResult): NextStep {
+    const {retryBudgets, clock, log} = this.#context;
+    const {route, service, body, expiresAtMs} = this.#request;
+    return decideNextStep({
+      outcome: result.outcome,
       // A streamed request body can be sent only once, and a streamed response
       // cannot be kept for delivery after a retry.
       isIdempotent:
         route.isIdempotent &&
-        !(this.#request.body instanceof Readable) &&
-        !(attempt.response?.body instanceof Readable),
+        !(body instanceof Readable) &&
+        !(result.response?.body instanceof Readable),
       sentAttempts: this.#sentAttempts,
       maxAttempts: route.maxAttempts,
       mayHaveRun: this.#mayHaveRun,
       unsentAttempts: this.#unsentAttempts,
-      expiresInMs: this.#request.expiresAtMs - clock.monotonicMs(),
+      expiresInMs: expiresAtMs - clock.monotonicMs(),
       takeRetry: () => {
         const isTaken = !this.#isCancelled && retryBudgets.take(service);
         if (!isTaken) {
@@ -163,37 +208,44 @@
         return isTaken;
       },
     });
-    if (attempt.outcome !== 'answered') {
-      log.attemptFailed(attempt.outcome, {
-        id: this.#request.id,
-        worker: worker.id,
-        dataCentre: worker.dataCentre,
-        reason: attempt.reason,
-        sends: this.#sentAttempts,
-        offers: this.#unsentAttempts,
-        version: state.config?.version,
-        outcome: step,
-      });
+  }
+
+  #takeStep(step: NextStep, result: AttemptResult): void {
+    if (step === 'sendAgain' && !this.#isCancelled) {
+      this.#startAttempt();
+      return;
+    }
+    const isFinal =
+      result.outcome === 'answered' ||
+      result.response?.body instanceof Readable;
+    if (this.#attempts.size > 0 && !isFinal) {
+      return; // another attempt may still bring a better response
     }
-    return this.#finish(step, attempt);
+    this.#settle(this.#finalResult(step, result));
   }
 
-  #finish(
-    step: ReturnType<typeof decideNextStep>,
-    attempt: Attempt,
-  ): DispatchResult | undefined {
+  #finalResult(step: NextStep, result: AttemptResult): DispatchResult {
     if (step === 'deliver') {
-      return this.#deliver(attempt.response!);
+      return this.#deliver(result.response!);
     }
     if (step === 'refuse') {
-      return this.#giveUp(attempt.reason, this.#shortestWaitMs);
-    }
-    if (step === 'reportUnknown' || this.#isCancelled) {
-      return this.#failedResponse
-        ? this.#deliver(this.#failedResponse)
-        : {kind: 'unknown', reason: attempt.reason};
+      return this.#giveUp(result.reason, this.#shortestWaitMs);
     }
-    return undefined;
+    return this.#failedResponse
+      ? this.#deliver(this.#failedResponse)
+      : {kind: 'unknown', reason: result.reason};
+  }
+
+  /** Log fields that identify an attempt. */
+  #describe(attempt: Attempt): LogFields {
+    return {
+      id: this.#request.id,
+      worker: attempt.worker.id,
+      dataCentre: attempt.worker.dataCentre,
+      sends: this.#sentAttempts,
+      offers: this.#unsentAttempts,
+      version: this.#context.state.config?.version,
+    };
   }
 
   #deliver(response: ExchangeResponse): DispatchResult {
@@ -212,7 +264,7 @@
     return {kind: 'refused', reason, waitMs: expectedWaitMs, serviceMs};
   }
 
-  async #makeAttempt(choice: WorkerChoice): Promise<Attempt> {
+  async #makeAttempt(choice: WorkerChoice): Promise<void> {
     const {worker} = choice;
     const {clock, workerLoads, log, state} = this.#context;
     const request = this.#request;
@@ -238,40 +290,48 @@
       dueInMs: request.dueAtMs - nowMs,
       expiresInMs: request.expiresAtMs - nowMs,
     };
+    const attempt: Attempt = {worker, cancel: () => {}, isHedged: false};
+    this.#attempts.add(attempt);
     const isLocalWorker = worker.address === this.#context.workerAddress;
-    const attempt = await (isLocalWorker
-      ? this.#sendToLocalWorker(hop, nowMs)
-      : this.#sendToPeer(hop, worker));
+    const result = await (isLocalWorker
+      ? this.#sendToLocalWorker(attempt, hop, nowMs)
+      : this.#sendToPeer(attempt, hop));
+    this.#attempts.delete(attempt);
     workerLoads.recordAttemptEnd(worker.id);
-    if (FULL_REASONS.has(attempt.reason)) {
+    if (FULL_REASONS.has(result.reason)) {
       workerLoads.recordRefusal(worker.id, priorityClassOf(request.route));
     }
-    if (STALE_ADDRESS_REASONS.has(attempt.reason)) {
+    if (STALE_ADDRESS_REASONS.has(result.reason)) {
       workerLoads.markAddressStale(worker.id);
     }
-    this.#recordAttempt(attempt);
-    return attempt;
+    this.#recordResult(result);
+    this.#handleResult(attempt, result);
   }
 
-  #recordAttempt(attempt: Attempt): void {
+  #recordResult(result: AttemptResult): void {
     // The retry budget is a share of the requests that were sent to a worker, so
     // requests that were refused before that must not add to it.
-    if (attempt.outcome !== 'notSent' && this.#sentAttempts === 1) {
+    if (result.outcome !== 'notSent' && !this.#isCountedForBudget) {
+      this.#isCountedForBudget = true;
       this.#context.retryBudgets.countCall(this.#request.service);
     }
-    if (attempt.outcome === 'notSent') {
+    if (result.outcome === 'notSent') {
       this.#sentAttempts--;
       this.#unsentAttempts++;
-      this.#shortestWaitMs = Math.min(this.#shortestWaitMs, attempt.waitMs);
-    } else if (attempt.outcome === 'failed') {
+      this.#shortestWaitMs = Math.min(this.#shortestWaitMs, result.waitMs);
+    } else if (result.outcome === 'failed') {
       this.#mayHaveRun = true;
-      this.#failedResponse = attempt.response;
-    } else if (attempt.outcome === 'unknown') {
+      this.#failedResponse = result.response;
+    } else if (result.outcome === 'unknown') {
       this.#mayHaveRun = true;
     }
   }
 
-  async #sendToLocalWorker(hop: HopRequest, nowMs: number): Promise<Attempt> {
+  async #sendToLocalWorker(
+    attempt: Attempt,
+    hop: HopRequest,
+    nowMs: number,
+  ): Promise<AttemptResult> {
     const request = this.#request;
     const ticket = this.#context.workerGate.submit({
       worker: hop.worker,
@@ -283,36 +343,40 @@
       body: request.body,
       requestId: request.id,
     });
-    this.#cancelAttempt = () => ticket.cancel();
+    attempt.cancel = () => ticket.cancel();
     const result = await ticket.result;
     this.#context.workerLoads.recordReport(
       hop.worker,
       this.#context.workerGate.load,
     );
-    return toAttempt(result);
+    return toAttemptResult(result);
   }
 
-  async #sendToPeer(hop: HopRequest, worker: MeshWorker): Promise<Attempt> {
+  async #sendToPeer(attempt: Attempt, hop: HopRequest): Promise<AttemptResult> {
     const {workerLoads, peerHealth, peerPools} = this.#context;
     const request = this.#request;
-    const vmAddress = vmAddressOf(worker);
+    const vmAddress = vmAddressOf(attempt.worker);
     const exchange = peerPools.poolFor(vmAddress).exchange({
       method: request.method,
       url: request.url,
       headers: [...request.headers, hopHeaders.request, encodeHopRequest(hop)],
       body: request.body,
       requestId: request.id,
-      inactivityTimeoutMs: hop.isIdempotent
-        ? HOP_INACTIVITY_TIMEOUT_MS
-        : undefined,
+      silenceWatch: {
+        intervalMs: SILENCE_INTERVAL_MS,
+        onSilent: silentMs =>
+          silentMs < SILENT_HOP_MS
+            ? 'wait'
+            : this.#handleSilence(attempt, silentMs),
+      },
     });
-    this.#cancelAttempt = () => exchange.cancel();
+    attempt.cancel = () => exchange.cancel();
     const result = await exchange.result;
     if (result.kind !== 'response') {
       if (result.reason !== 'cancelled') {
         peerHealth.markDown(vmAddress);
       }
-      return failureToAttempt(result);
+      return failureToAttemptResult(result);
     }
     const hopResponse = decodeHopResponse(
       headerValue(result.headers, hopHeaders.response),
@@ -320,19 +384,77 @@
     if (!hopResponse) {
       return {outcome: 'unknown', reason: 'noVerdict', waitMs: 0};
     }
-    workerLoads.recordReport(worker.id, hopResponse.load);
-    return toAttempt({...hopResponse, response: result});
+    workerLoads.recordReport(attempt.worker.id, hopResponse.load);
+    return toAttemptResult({...hopResponse, response: result});
+  }
+
+  /**
+   * Handles a hop without any byte for some time. Silence alone does not end the
+   * attempt: the request may be running on the worker behind a relay that is
+   * short of processor time. A retry may be made beside it.
+   */
+  #handleSilence(attempt: Attempt, silentMs: number): 'wait' | 'end' {
+    const {clock, peerHealth} = this.#context;
+    const vmAddress = vmAddressOf(attempt.worker);
+    if (attempt.silentSinceMs === undefined) {
+      attempt.silentSinceMs = clock.monotonicMs();
+      peerHealth.markDown(vmAddress);
+    }
+    if (
+      this.#request.route.isIdempotent &&
+      this.#isHopDead(vmAddress, attempt.silentSinceMs)
+    ) {
+      return 'end';
+    }
+    if (!attempt.isHedged) {
+      this.#hedge(attempt, silentMs);
+    }
+    return 'wait';
+  }
+
+  /**
+   * Whether no response can come any more: the VM cannot be reached, or its
+   * relay responds on new connections but not on that of the attempt.
+   */
+  #isHopDead(vmAddress: string, silentSinceMs: number): boolean {
+    const {clock, peerHealth} = this.#context;
+    const answeredMs = peerHealth.lastAnswerMs(vmAddress);
+    return (
+      peerHealth.isUnreachable(vmAddress) ||
+      (answeredMs >= silentSinceMs &&
+        clock.monotonicMs() - answeredMs >= DEAD_CONNECTION_MS)
+    );
+  }
+
+  /** Starts another attempt beside a silent one, if a retry is allowed. */
+  #hedge(attempt: Attempt, silentMs: number): void {
+    const step = this.#decideNextStep({
+      outcome: 'unknown',
+      reason: 'silent',
+      waitMs: 0,
+    });
+    attempt.isHedged = step === 'sendAgain';
+    if (attempt.isHedged || silentMs === SILENT_HOP_MS) {
+      this.#context.log.hopSilent({
+        ...this.#describe(attempt),
+        silentMs,
+        outcome: attempt.isHedged ? 'hedged' : 'waiting',
+      });
+    }
+    if (attempt.isHedged) {
+      this.#startAttempt();
+    }
   }
 }
 
-function failureToAttempt(failure: ExchangeFailure): Attempt {
+function failureToAttemptResult(failure: ExchangeFailure): AttemptResult {
   return {outcome: failure.kind, reason: failure.reason, waitMs: 0};
 }
 
 const FULL_REASONS = new Set(['wouldBeLate', 'wouldExpire']);
 const STALE_ADDRESS_REASONS = new Set(['421', 'workerGone']); // 421: another worker uses the address
 
-function toAttempt(result: GateResult): Attempt {
+function toAttemptResult(result: GateResult): AttemptResult {
   const {verdict, reason, response} = result;
   const waitMs = result.retryAfterMs;
   if (verdict === 'answered') {
--- a/calls/relay/src/request_log.ts
+++ b/calls/relay/src/request_log.ts
@@ -8,6 +8,8 @@
    * An attempt ended without a response that can be delivered to the caller.
    */
   attemptFailed(reason: string, fields: LogFields): void;
+  /** A hop to another relay is silent; its attempt stays in progress. */
+  hopSilent(fields: LogFields & {outcome: 'hedged' | 'waiting'}): void;
   /**
    * A retry was not made because the retry budget of the service is exhausted.
    */
--- a/core/metrics/src/relay_metrics.ts
+++ b/core/metrics/src/relay_metrics.ts
@@ -18,6 +18,11 @@
     help: 'Attempts without a response that could be delivered, by reason.',
     labels: ['reason'],
   },
+  carobseam_relay_silent_hops_total: {
+    type: 'counter',
+    help: 'Hops to other relays that were silent, by what was done: another attempt beside it (hedged) or none (waiting).',
+    labels: ['outcome'],
+  },
   carobseam_relay_budget_spent_total: {
     type: 'counter',
     help: 'Retries that were not made because the retry budget was exhausted.',
--- a/daemon/relay/src/request_recorder.ts
+++ b/daemon/relay/src/request_recorder.ts
@@ -24,6 +24,12 @@
     this.#log.logImportant('attempt_failed', {attempt: reason, ...fields});
   }
 
+  hopSilent(fields: LogFields & {outcome: string}): void {
+    const {outcome} = fields;
+    this.#metrics.increment('carobseam_relay_silent_hops_total', {outcome});
+    this.#log.logImportant('hop_silent', fields);
+  }
+
   retryBudgetExhausted(service: string): void {
     this.#metrics.increment('carobseam_relay_budget_spent_total', {service});
   }
