fix(exchange): a delay of the own event loop is not silence of the server

Callers got 502 or a needless retry from a relay that was itself short of processor time: sidecar-ost-stpoelten-11 declared nearly every VM lost between 15.7 and 18.1 s while they were answering.

Cause: after a delay of the event loop, timers run before the sockets are read, so the timers for silence and for connecting expired although the response or the connection was already there. Both now wait for the reads of the same turn. The new test blocks the event loop over the timer while a response is in the socket; it got 'unknown: silent' before.

--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -49,6 +49,8 @@
   #isConnected = false;
   #isSkippingResponse = false;
   #isReusable = true;
+  /** Number of socket events that show that the server is alive. */
+  #readCount = 0;
   /** Keep-alive timeout that the server sent, in ms. */
   keepAliveMs: number | undefined;
 
@@ -66,7 +68,7 @@
       allowHalfOpen: true,
     });
     this.#connectTimer = setTimeout(
-      () => this.#fail('connect_timeout'),
+      () => this.#afterPendingReads(() => this.#fail('connect_timeout')),
       options.connectTimeoutMs,
     );
     this.#socket.on('connect', () => this.#onConnect());
@@ -113,6 +115,7 @@
 
   #onConnect(): void {
     clearTimeout(this.#connectTimer);
+    this.#readCount++;
     this.#isConnected = true;
     if (this.#current) {
       this.#write(this.#current);
@@ -181,6 +184,7 @@
   }
 
   #onData(chunk: Buffer): void {
+    this.#readCount++;
     if (!this.#current) {
       // Unexpected bytes without a request in progress. The bytes that follow
       // could not be attributed to a request either.
@@ -361,7 +365,7 @@
       return;
     }
     current.silenceTimer = setTimeout(
-      () => this.#reportSilence(current),
+      () => this.#afterPendingReads(() => this.#reportSilence(current)),
       silenceWatch.intervalMs,
     );
   }
@@ -378,6 +382,19 @@
       this.#fail('silent');
     }
   }
+
+  /**
+   * Runs a timeout handler unless bytes have arrived that were not read yet.
+   * After a delay of the event loop, timers run before sockets are read.
+   */
+  #afterPendingReads(handleTimeout: () => void): void {
+    const readCount = this.#readCount;
+    setImmediate(() => {
+      if (this.#readCount === readCount) {
+        handleTimeout();
+      }
+    });
+  }
 }
 
 function hasBodyByDefault(method: string): boolean {
--- a/calls/exchange/test/connection_pool.test.ts
+++ b/calls/exchange/test/connection_pool.test.ts
@@ -58,6 +58,11 @@
   onSilent: () => 'end',
 });
 
+function blockEventLoop(durationMs: number): void {
+  const endMs = performance.now() + durationMs;
+  while (performance.now() < endMs);
+}
+
 async function describeResult(result: ExchangeResult): Promise<string> {
   if (result.kind !== 'response') {
     return `${result.kind}: ${result.reason}`;
@@ -233,6 +238,20 @@
     );
   });
 
+  it('guards against taking a delay of the own event loop for silence of the server', async () => {
+    await withWorker(
+      (socket, id) => {
+        socket.write(framedResponse(id, 'done'));
+        blockEventLoop(150);
+      },
+      async send => {
+        expect(await send('a', {silenceWatch: endAfter(100)})).to.equal(
+          '200 done',
+        );
+      },
+    );
+  });
+
   it('guards against taking an interim response for the final response', async () => {
     await withWorker(
       (socket, id) => {
