fix(exchange): close the idle connections of a pool after one died without a reset

Connections can go silent for good while new ones work. Each request that reused one of them waited for the silence of its own connection. When an exchange on a reused connection ends as silent, the pool now closes its idle connections; the new test opened a third connection only after another wait before.

--- a/calls/exchange/src/connection_pool.ts
+++ b/calls/exchange/src/connection_pool.ts
@@ -62,6 +62,8 @@
       connection.send(request, outcome => {
         if (idleMs !== undefined && hasReason(outcome, 'connection_lost')) {
           this.#lowerMaxReuseIdle(idleMs);
+        } else if (idleMs !== undefined && hasReason(outcome, 'silent')) {
+          this.#closeIdle();
         }
         resolve(outcome);
       }),
@@ -104,6 +106,16 @@
     this.#maxReuseIdleMs = Math.max(MIN_IDLE_MS, lostIdleMs * LOST_IDLE_SHARE);
   }
 
+  /**
+   * Closes the idle connections after one of them turned out to be dead without
+   * a reset; the others have probably lost their peer in the same way.
+   */
+  #closeIdle(): void {
+    const idle = this.#idle;
+    this.#idle = [];
+    idle.forEach(({connection}) => connection.close());
+  }
+
   #takeIdle(): IdleConnection | undefined {
     const nowMs = this.#options.clock.monotonicMs();
     for (;;) {
--- a/calls/exchange/test/connection_pool.test.ts
+++ b/calls/exchange/test/connection_pool.test.ts
@@ -252,6 +252,23 @@
     );
   });
 
+  it('guards against reusing further connections after one died without a reset', async () => {
+    await withWorker(
+      (socket, id) => {
+        if (id !== 'silent') {
+          setTimeout(() => socket.write(framedResponse(id, id)), 20);
+        }
+      },
+      async (send, connectionCount) => {
+        await Promise.all([send('a'), send('b')]);
+        expect(connectionCount()).to.equal(2);
+        await send('silent', {silenceWatch: endAfter(50)});
+        await send('c');
+        expect(connectionCount()).to.equal(3);
+      },
+    );
+  });
+
   it('guards against taking an interim response for the final response', async () => {
     await withWorker(
       (socket, id) => {
