fix(exchange): survive a streamed response that fails before its receiver listens

Seen: a worker sends 260 KB of a chunked body and then bytes that are no chunk size, in the same read. The stream fails before anyone listens for its errors: the relay logs unexpected_error, the worker's slot is never free again and the caller gets no end. The same happens when a stream that was not delivered is cancelled.

Cause: the error event has no listener yet, and the gate waits for a close event that was already emitted.

The stream now has a listener from its creation, and the gate and the response writer check whether it has ended.

--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -248,6 +248,8 @@
         done(error);
       },
     });
+    // The stream may fail before its receiver listens for errors.
+    current.stream.on('error', () => {});
     for (const chunk of current.chunks) {
       current.stream.push(chunk);
     }
--- /dev/null
+++ b/calls/exchange/test/endless_response.test.ts
@@ -0,0 +1,140 @@
+import {ConnectionPool, type ExchangeResult} from '@carobseam/calls.exchange';
+import {SystemClock} from '@carobseam/core.clock';
+import {expect} from 'chai';
+import type net from 'node:net';
+import {Readable} from 'node:stream';
+import {startRawWorker, type RawRequestHandler} from './raw_worker.js';
+
+const FLOOD_BYTES = 4 * 1024 * 1024; // more than any limit of the exchange
+const PENDING_AFTER_MS = 1000;
+const BODY_HEAD = 'HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n';
+const CHUNKED_HEAD = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+
+/** Writes `prefix` and then `part` again and again, without an end. */
+function flood(socket: net.Socket, prefix: string, part: string): void {
+  const block = part.repeat(Math.ceil(16_384 / part.length));
+  let bytes = 0;
+  const write = () => {
+    while (bytes < FLOOD_BYTES && !socket.destroyed) {
+      bytes += block.length;
+      if (!socket.write(block)) {
+        socket.once('drain', write);
+        return;
+      }
+    }
+  };
+  socket.write(prefix);
+  write();
+}
+
+interface Outcome {
+  text: string;
+  /** Bytes that the worker could send. */
+  sentBytes: number;
+  isWorkerSocketClosed: boolean;
+}
+
+/** Sends one request and describes how it ended. */
+async function exchangeWith(handle: RawRequestHandler): Promise<Outcome> {
+  let workerSocket: net.Socket | undefined;
+  const worker = await startRawWorker((socket, ...rest) => {
+    workerSocket = socket;
+    handle(socket, ...rest);
+  });
+  const pool = new ConnectionPool({
+    clock: new SystemClock(),
+    address: worker.address,
+    connectTimeoutMs: 500,
+    idleTtlMs: 5000,
+    maxIdle: 4,
+    requestIdHeader: 'x-request-id',
+  });
+  try {
+    const exchange = pool.exchange({
+      method: 'GET',
+      url: '/',
+      headers: ['Host', 'a.example', 'X-Request-Id', 'a'],
+      body: Buffer.alloc(0),
+      requestId: 'a',
+    });
+    const text = await Promise.race([
+      exchange.result.then(describeResult),
+      pause(PENDING_AFTER_MS).then(() => 'pending'),
+    ]);
+    await pause(20);
+    return {
+      text,
+      sentBytes: workerSocket!.bytesWritten,
+      isWorkerSocketClosed: workerSocket!.destroyed,
+    };
+  } finally {
+    pool.close();
+    await worker.close();
+  }
+}
+
+async function describeResult(result: ExchangeResult): Promise<string> {
+  if (result.kind !== 'response') {
+    return `${result.kind}: ${result.reason}`;
+  }
+  if (!(result.body instanceof Readable)) {
+    return `${result.status} ${result.body.length} bytes`;
+  }
+  let bytes = 0;
+  try {
+    for await (const chunk of result.body as AsyncIterable<Buffer>) {
+      bytes += chunk.length;
+    }
+  } catch {
+    return `${result.status} broken off`;
+  }
+  return `${result.status} ${bytes} bytes`;
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+describe('ConnectionPool with a worker that sends without end', () => {
+  it('guards against an unhandled error when a body fails in the read that starts its stream', async () => {
+    const outcome = await exchangeWith(socket => {
+      // Everything arrives in the same reads of the connection.
+      socket.cork();
+      socket.write(`${CHUNKED_HEAD}${(260 * 1024).toString(16)}\r\n`);
+      socket.write('x'.repeat(260 * 1024));
+      socket.write('\r\nzz\r\n');
+      socket.uncork();
+    });
+    expect(outcome.text).to.equal('200 broken off');
+  });
+
+  it('guards against reading a body without end that nobody takes', async () => {
+    const worker = await startRawWorker(socket =>
+      flood(socket, BODY_HEAD, 'x'),
+    );
+    const pool = new ConnectionPool({
+      clock: new SystemClock(),
+      address: worker.address,
+      connectTimeoutMs: 500,
+      idleTtlMs: 5000,
+      maxIdle: 4,
+      requestIdHeader: 'x-request-id',
+    });
+    const exchange = pool.exchange({
+      method: 'GET',
+      url: '/',
+      headers: ['Host', 'a.example'],
+      body: Buffer.alloc(0),
+    });
+    const result = await exchange.result;
+    await pause(100);
+    const {body} = result as {body: Readable};
+    expect(body.readableLength).to.be.below(512 * 1024);
+    exchange.cancel();
+    await pause(20);
+    expect(body.destroyed).to.equal(true);
+    expect(pool.isEmpty).to.equal(true);
+    pool.close();
+    await worker.close();
+  });
+});
--- a/calls/relay/src/send_response.ts
+++ b/calls/relay/src/send_response.ts
@@ -22,6 +22,10 @@
   headers.push(...extraHeaders);
   if (response.body instanceof Readable) {
     const {body} = response;
+    if (body.destroyed) {
+      receiver.destroy();
+      return;
+    }
     receiver.writeHead(response.status, headers);
     body.on('error', () => receiver.destroy());
     receiver.on('close', () => body.destroy());
--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -229,7 +229,11 @@
 
   /** Frees the slot, after a streamed response only once its body has ended. */
   #releaseSlot(result: ExchangeResult): void {
-    if (result.kind === 'response' && result.body instanceof Readable) {
+    if (
+      result.kind === 'response' &&
+      result.body instanceof Readable &&
+      !result.body.closed
+    ) {
       result.body.once('close', () => this.#queue.release());
     } else {
       this.#queue.release();
--- /dev/null
+++ b/calls/relay/test/worker_gate.test.ts
@@ -0,0 +1,117 @@
+import {WorkerGate, type GateResult} from '@carobseam/calls.relay';
+import type {WorkerId} from '@carobseam/config.mesh';
+import {SystemClock} from '@carobseam/core.clock';
+import {wireHeaders} from '@carobseam/platform.adapter';
+import {expect} from 'chai';
+import net from 'node:net';
+
+const SEAL = `${wireHeaders.workerSignature}: seal\r\n`;
+const BLOCK = 'x'.repeat(64 * 1024);
+
+interface SubmitOptions {
+  isIdempotent?: boolean;
+  expiresInMs?: number;
+}
+
+interface GateHarness {
+  gate: WorkerGate;
+  submit: (options?: SubmitOptions) => Promise<GateResult>;
+  openSockets: Set<net.Socket>;
+}
+
+/** Runs a gate in front of a worker that answers each request with bytes. */
+async function withGate(
+  handleRequest: (socket: net.Socket) => void,
+  run: (harness: GateHarness) => Promise<void>,
+): Promise<void> {
+  const openSockets = new Set<net.Socket>();
+  const server = net.createServer(socket => {
+    openSockets.add(socket);
+    socket.on('data', () => handleRequest(socket));
+    socket.on('error', () => {});
+    socket.on('close', () => openSockets.delete(socket));
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as net.AddressInfo;
+  const clock = new SystemClock();
+  const gate = new WorkerGate({
+    clock,
+    workerAddress: `127.0.0.1:${port}`,
+    connectTimeoutMs: 500,
+    idleTtlMs: 4000,
+    maxIdle: 4,
+    drainMs: 2000,
+    isGone: () => false,
+    onConnection: () => {},
+  });
+  const submit = ({
+    isIdempotent = true,
+    expiresInMs = 1000,
+  }: SubmitOptions = {}) =>
+    gate.submit({
+      worker: 'i-0' as WorkerId,
+      isIdempotent,
+      scheduling: {
+        rank: 1,
+        isLastCallerAttempt: false,
+        dueAtMs: clock.monotonicMs() + expiresInMs,
+        expiresAtMs: clock.monotonicMs() + expiresInMs,
+      },
+      method: 'GET',
+      url: '/',
+      headers: ['Host', 'a.example'],
+      body: Buffer.alloc(0),
+    }).result;
+  try {
+    await run({gate, submit, openSockets});
+  } finally {
+    gate.close();
+    openSockets.forEach(socket => socket.destroy());
+    await new Promise<void>(resolve => {
+      server.close(() => resolve());
+    });
+  }
+}
+
+/** Sends a head and then a body without end. */
+function flood(socket: net.Socket, head: string): void {
+  const write = () => {
+    while (!socket.destroyed) {
+      if (!socket.write(BLOCK)) {
+        socket.once('drain', write);
+        return;
+      }
+    }
+  };
+  socket.write(head);
+  write();
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+describe('WorkerGate', () => {
+  it('guards against losing a slot to a stream that failed at once', async () => {
+    await withGate(
+      socket => {
+        const bodyBytes = 260 * 1024;
+        socket.cork();
+        socket.write(
+          `HTTP/1.1 200 OK\r\n${SEAL}Transfer-Encoding: chunked\r\n\r\n${bodyBytes.toString(16)}\r\n`,
+        );
+        socket.write('x'.repeat(bodyBytes));
+        socket.write('\r\nzz\r\n');
+        socket.uncork();
+      },
+      async ({gate, submit, openSockets}) => {
+        await submit();
+        await pause(50);
+        expect(gate.load.running).to.equal(0);
+        expect(openSockets.size).to.equal(0);
+      },
+    );
+  });
+});
