fix(relay): close the stream of a response that is not delivered

Seen: a worker answers without its signature, or with a refusal, and a body of more than 256 KB or without end. Each such answer keeps one of the worker's slots and one connection for ever.

Cause: the gate frees a slot when the stream closes, but nobody reads or closes the stream of a response that it does not hand on. The body of a rejected response went on to the other relay, where nobody reads it either.

The gate now discards every response that is not an answer. A rejected request is reported to the other relay by the verdict alone, which is all that it uses.

--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -1,5 +1,6 @@
 import {
   ConnectionPool,
+  discardResponse,
   headerValue,
   type Exchange,
   type ExchangeResponse,
@@ -39,6 +40,7 @@
   verdict: HopVerdict;
   reason: string;
   retryAfterMs: number;
+  /** Present if the worker answered. */
   response?: ExchangeResponse;
 }
 
@@ -269,24 +271,32 @@
   if (result.kind !== 'response') {
     return {verdict: result.kind, reason: result.reason, retryAfterMs: 0};
   }
+  const [verdict, reason] = judgeResponse(result);
+  if (verdict !== 'answered') {
+    discardResponse(result);
+    return {verdict, reason, retryAfterMs: 0};
+  }
+  return {verdict, reason, retryAfterMs: 0, response: result};
+}
+
+function judgeResponse({
+  status,
+  headers,
+}: ExchangeResponse): [verdict: HopVerdict, reason: string] {
   const isRejected =
-    result.status === 421 ||
-    headerValue(result.headers, wireHeaders.notExecuted) !== undefined;
-  const isSigned =
-    headerValue(result.headers, wireHeaders.workerSignature) !== undefined;
-  if (!isRejected && !isSigned) {
+    status === 421 ||
+    headerValue(headers, wireHeaders.notExecuted) !== undefined;
+  if (isRejected) {
+    return ['rejected', String(status)];
+  }
+  if (headerValue(headers, wireHeaders.workerSignature) === undefined) {
     // An unsigned response may come from something other than the worker.
-    return {verdict: 'unknown', reason: 'unsealed', retryAfterMs: 0};
+    return ['unknown', 'unsealed'];
   }
-  if (!isRejected && RETRIED_STATUSES.has(result.status)) {
+  if (RETRIED_STATUSES.has(status)) {
     // Callers would conclude that the request did not run, but the worker has
     // not stated this.
-    return {verdict: 'unknown', reason: 'unprovenRefusal', retryAfterMs: 0};
+    return ['unknown', 'unprovenRefusal'];
   }
-  return {
-    verdict: isRejected ? 'rejected' : 'answered',
-    reason: String(result.status),
-    retryAfterMs: 0,
-    response: result,
-  };
+  return ['answered', String(status)];
 }
--- a/calls/relay/test/worker_gate.test.ts
+++ b/calls/relay/test/worker_gate.test.ts
@@ -114,4 +114,32 @@
       },
     );
   });
+
+  const undelivered: Array<[string, string, string]> = [
+    ['an unsigned response', 'HTTP/1.1 200 OK\r\n', 'unknown'],
+    [
+      'a response that states that nothing ran',
+      `HTTP/1.1 503 Full\r\n${wireHeaders.notExecuted}: 1\r\n`,
+      'rejected',
+    ],
+    [
+      'a refusal that states nothing',
+      `HTTP/1.1 503 Full\r\n${SEAL}`,
+      'unknown',
+    ],
+  ];
+  for (const [name, head, verdict] of undelivered) {
+    it(`guards against losing a slot to ${name} without end`, async () => {
+      await withGate(
+        socket => flood(socket, `${head}Connection: close\r\n\r\n`),
+        async ({gate, submit, openSockets}) => {
+          const result = await submit();
+          expect(result.verdict).to.equal(verdict);
+          await pause(50);
+          expect(gate.load.running).to.equal(0);
+          expect(openSockets.size).to.equal(0);
+        },
+      );
+    });
+  }
 });
