fix(relay): end a streamed response at the deadline

Seen: a worker begins a response and sends its body without end, or one byte at a time: a body of more than 256 KB goes on to the caller past its deadline and the route's timeout for ever, through one relay or two. The worker's slot and all connections on the way stay in use; a caller that does not read holds them too.

Cause: the timer of a request is cancelled as soon as its response begins.

The timer of a streamed response now runs until its end and closes the caller's connection, so that the part does not look complete; the close passes on to the worker. No request gets a further timer. The log says brokenOff, and explain-request knows it.

--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -3,6 +3,7 @@
 import type {LogFields} from '@carobseam/core.logger';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {Readable} from 'node:stream';
 import {forwardedHeaders} from './forwarded_headers.js';
 import {hopHeaders} from './hop_message.js';
 import {BodyTooLargeError, readBody} from './read_body.js';
@@ -122,6 +123,10 @@
     const {clock} = this.#context;
     const {route, arrivedMs} = times;
     const abort = (outcome: string) => {
+      if (response.headersSent) {
+        this.#breakOff(request, response, outcome, times);
+        return;
+      }
       const status = dispatcher.mayHaveRun ? 504 : 503;
       this.#recordEnd(request, arrivedMs, outcome, {route: route.name, status});
       this.#refuse(response, status, []);
@@ -150,7 +155,9 @@
       }
       return;
     }
-    timeoutTimer.cancel();
+    if (!isStreamed(result)) {
+      timeoutTimer.cancel();
+    }
     RESPONDERS[result.kind](result as never, {
       response,
       times,
@@ -165,6 +172,24 @@
     });
   }
 
+  /**
+   * Closes the caller's connection in the middle of a response, so that the
+   * response does not look complete.
+   */
+  #breakOff(
+    request: IncomingMessage,
+    response: ServerResponse,
+    reason: string,
+    {route, arrivedMs}: {route: MeshRoute; arrivedMs: number},
+  ): void {
+    if (response.writableEnded || response.destroyed) {
+      return;
+    }
+    const fields = {route: route.name, reason};
+    this.#recordEnd(request, arrivedMs, 'brokenOff', fields);
+    response.destroy();
+  }
+
   #computeTimes(
     request: IncomingMessage,
     route: MeshRoute,
@@ -303,6 +328,10 @@
   },
 };
 
+function isStreamed(result: DispatchResult): boolean {
+  return result.kind === 'response' && result.response.body instanceof Readable;
+}
+
 const MS_PER_S = 1000;
 
 function retryAfterHeader(afterMs: number): string[] {
--- a/cli/carobseam/src/explain_request.ts
+++ b/cli/carobseam/src/explain_request.ts
@@ -65,10 +65,17 @@
   unsealed: 'the response was not signed by the worker',
 };
 
+const BREAK_OFFS: Record<string, string> = {
+  relayEnds: 'the relay stopped',
+  timeout: 'the limit of the route or the caller was reached',
+};
+
 const OUTCOMES: Record<string, (fields: Fields) => string> = {
   answered: ({status, attempts}) =>
     `Answered with the worker's status ${status} after ${attempts} sends.`,
   bodyFailed: ({cause}) => `The body could not be read: ${cause}.`,
+  brokenOff: ({reason, durationMs}) =>
+    `The response was broken off after ${durationMs} ms, in the middle of its body: ${BREAK_OFFS[reason!] ?? reason}.`,
   callerLeft: () => 'The caller left before there was a response.',
   noConfig: () => 'Refused: the relay had not read a configuration yet.',
   noRoute: ({host, version}) =>
