fix(exchange): bound the chunk lines and trailers of a response

Seen: a worker sends a chunk size, a chunk extension or a trailer without end. The relay keeps every byte in memory and the exchange ends only when the caller's time is up; for a request that is not idempotent it never ends.

Cause: the parser has a limit for heads only.

An unfinished line and the trailers now have the limit of a head, and a chunk line 1 KB. Trailers are no longer stored, because they were never forwarded. The cost is one comparison for each read.

--- a/calls/exchange/src/response_reader.ts
+++ b/calls/exchange/src/response_reader.ts
@@ -21,16 +21,22 @@
 interface ParserInternals {
   consumeLine(): string | undefined;
   line: string;
+  headerSize: number;
   body_bytes: number | null;
   state: string;
   isChunked: boolean;
+  nextRequest(): void;
   BODY_CHUNKHEAD(): void;
+  BODY_CHUNKTRAILERS(): void;
 }
 
 const CHUNK_HEAD_PATTERN = /^[0-9a-fA-F]+[ \t]*(;.*)?$/;
 const LENGTH_PATTERN = /^\d+$/;
+const MAX_HEAD_BYTES = 128 * 1024; // the parser counts one read of the previous body too, which is up to 64 KB
+const MAX_CHUNK_HEAD_BYTES = 1024; // extensions are rare and short
 
 HTTPParser.encoding = 'latin1';
+HTTPParser.maxHeaderSize = MAX_HEAD_BYTES;
 
 /**
  * Parses the responses on one connection. The HTTP client of Node.js cannot be
@@ -63,6 +69,8 @@
     parser[HTTPParser.kOnMessageComplete] = () => handler.onEnd();
     // The original parser takes an invalid chunk size as the last chunk.
     internals.BODY_CHUNKHEAD = readChunkHead;
+    // The original parser stores trailers without a limit.
+    internals.BODY_CHUNKTRAILERS = skipTrailer;
   }
 
   /** Whether no byte was received after the last complete response. */
@@ -77,6 +85,10 @@
     if (result instanceof Error) {
       throw result;
     }
+    const {line} = this.#parser as unknown as ParserInternals;
+    if (line.length > MAX_HEAD_BYTES) {
+      throw new Error('line is too long');
+    }
   }
 
   /**
@@ -97,6 +109,9 @@
   if (line === undefined) {
     return;
   }
+  if (line.length > MAX_CHUNK_HEAD_BYTES) {
+    throw new Error('chunk extension is too long');
+  }
   if (!CHUNK_HEAD_PATTERN.test(line)) {
     throw new Error('chunk size is not a hexadecimal number');
   }
@@ -104,6 +119,21 @@
   this.state = this.body_bytes ? 'BODY_CHUNK' : 'BODY_CHUNKTRAILERS';
 }
 
+function skipTrailer(this: ParserInternals): void {
+  const line = this.consumeLine();
+  if (line === undefined) {
+    return;
+  }
+  if (line === '') {
+    this.nextRequest();
+    return;
+  }
+  this.headerSize += line.length;
+  if (this.headerSize > MAX_HEAD_BYTES) {
+    throw new Error('trailers are too long');
+  }
+}
+
 function checkContentLengths(headers: readonly string[]): void {
   for (let index = 0; index < headers.length; index += 2) {
     const isContentLength = headers[index]!.toLowerCase() === 'content-length';
--- a/calls/exchange/test/endless_response.test.ts
+++ b/calls/exchange/test/endless_response.test.ts
@@ -96,6 +96,41 @@
 }
 
 describe('ConnectionPool with a worker that sends without end', () => {
+  const floods: Array<[string, string, string, string]> = [
+    ['a chunk size', CHUNKED_HEAD, '0', 'unknown: malformed_response'],
+    [
+      'a chunk extension',
+      `${CHUNKED_HEAD}5;`,
+      'x',
+      'unknown: malformed_response',
+    ],
+    [
+      'the end of a chunk',
+      `${CHUNKED_HEAD}1\r\nx`,
+      'x',
+      'unknown: malformed_response',
+    ],
+    [
+      'a trailer line',
+      `${CHUNKED_HEAD}0\r\nA: `,
+      'x',
+      'unknown: malformed_response',
+    ],
+    [
+      'trailer lines',
+      `${CHUNKED_HEAD}0\r\n`,
+      'A: b\r\n',
+      'unknown: malformed_response',
+    ],
+  ];
+  for (const [name, prefix, part, expected] of floods) {
+    it(`guards against ${name} without end`, async () => {
+      const outcome = await exchangeWith(socket => flood(socket, prefix, part));
+      expect(outcome.text).to.equal(expected);
+      expect(outcome.isWorkerSocketClosed).to.equal(true);
+    });
+  }
+
   it('guards against an unhandled error when a body fails in the read that starts its stream', async () => {
     const outcome = await exchangeWith(socket => {
       // Everything arrives in the same reads of the connection.
