fix(exchange): fail at once on bytes that do not begin a status line

Seen: a worker sends bytes that are no answer and no line end, then waits. The exchange waits too, up to the caller's deadline, although a retry could still succeed. A head without end ends as malformed_response, like any other fault of the bytes.

Cause: a line is checked only once its end has arrived.

Evidence: before, "guards against waiting for the end of a line that is not HTTP" ends with "pending" after 1 s, and the five tests of heads without end report malformed_response; after, they pass. A status line that arrives byte by byte is accepted before and after.

The beginning of a status line that arrives in parts is compared at the end of a read, only if a line is unfinished. A head over the limit has the reason head_too_large in logs and metrics.

--- a/calls/exchange/src/exchange_types.ts
+++ b/calls/exchange/src/exchange_types.ts
@@ -42,6 +42,7 @@
   | 'connect_timeout'
   | 'connection_lost'
   | 'malformed_response'
+  | 'head_too_large'
   | 'silent'
   | 'cancelled'
   | 'body_failed';
--- a/calls/exchange/src/response_reader.ts
+++ b/calls/exchange/src/response_reader.ts
@@ -34,6 +34,7 @@
 const LENGTH_PATTERN = /^\d+$/;
 const MAX_HEAD_BYTES = 128 * 1024; // the parser counts one read of the previous body too, which is up to 64 KB
 const MAX_CHUNK_HEAD_BYTES = 1024; // extensions are rare and short
+const STATUS_LINE_START = 'HTTP/';
 
 HTTPParser.encoding = 'latin1';
 HTTPParser.maxHeaderSize = MAX_HEAD_BYTES;
@@ -73,6 +74,12 @@
     internals.BODY_CHUNKTRAILERS = skipTrailer;
   }
 
+  /** Whether the head that is being read exceeds the limit. */
+  get isHeadTooLarge(): boolean {
+    const {headerSize} = this.#parser as unknown as ParserInternals;
+    return headerSize > MAX_HEAD_BYTES;
+  }
+
   /** Whether no byte was received after the last complete response. */
   get isBetweenResponses(): boolean {
     const {line, state} = this.#parser as unknown as ParserInternals;
@@ -85,9 +92,9 @@
     if (result instanceof Error) {
       throw result;
     }
-    const {line} = this.#parser as unknown as ParserInternals;
-    if (line.length > MAX_HEAD_BYTES) {
-      throw new Error('line is too long');
+    const {line, state} = this.#parser as unknown as ParserInternals;
+    if (line !== '') {
+      checkPartialLine(line, state);
     }
   }
 
@@ -134,6 +141,21 @@
   }
 }
 
+/** Checks a line of which only a part was received. */
+function checkPartialLine(line: string, state: string): void {
+  if (line.length > MAX_HEAD_BYTES) {
+    throw new Error('line is too long');
+  }
+  const isStatusLine =
+    state !== 'RESPONSE_LINE' ||
+    line === '\r' ||
+    line.startsWith(STATUS_LINE_START) ||
+    STATUS_LINE_START.startsWith(line);
+  if (!isStatusLine) {
+    throw new Error('bytes are not a status line');
+  }
+}
+
 function checkContentLengths(headers: readonly string[]): void {
   for (let index = 0; index < headers.length; index += 2) {
     const isContentLength = headers[index]!.toLowerCase() === 'content-length';
--- a/calls/exchange/test/endless_response.test.ts
+++ b/calls/exchange/test/endless_response.test.ts
@@ -3,7 +3,11 @@
 import {expect} from 'chai';
 import type net from 'node:net';
 import {Readable} from 'node:stream';
-import {startRawWorker, type RawRequestHandler} from './raw_worker.js';
+import {
+  framedResponse,
+  startRawWorker,
+  type RawRequestHandler,
+} from './raw_worker.js';
 
 const FLOOD_BYTES = 4 * 1024 * 1024; // more than any limit of the exchange
 const PENDING_AFTER_MS = 1000;
@@ -97,6 +101,21 @@
 
 describe('ConnectionPool with a worker that sends without end', () => {
   const floods: Array<[string, string, string, string]> = [
+    ['a status line', 'HTTP/1.1 200 ', 'x', 'unknown: head_too_large'],
+    ['a header line', 'HTTP/1.1 200 OK\r\nA: ', 'x', 'unknown: head_too_large'],
+    [
+      'header lines',
+      'HTTP/1.1 200 OK\r\n',
+      'A: b\r\n',
+      'unknown: head_too_large',
+    ],
+    ['empty lines', '', '\r\n', 'unknown: head_too_large'],
+    [
+      'header lines of an interim response',
+      'HTTP/1.1 102 Processing\r\n',
+      'A: b\r\n',
+      'unknown: head_too_large',
+    ],
     ['a chunk size', CHUNKED_HEAD, '0', 'unknown: malformed_response'],
     [
       'a chunk extension',
@@ -122,6 +141,7 @@
       'A: b\r\n',
       'unknown: malformed_response',
     ],
+    ['bytes that are not HTTP', '', '%', 'unknown: malformed_response'],
   ];
   for (const [name, prefix, part, expected] of floods) {
     it(`guards against ${name} without end`, async () => {
@@ -131,6 +151,21 @@
     });
   }
 
+  it('guards against waiting for the end of a line that is not HTTP', async () => {
+    const outcome = await exchangeWith(socket => socket.write('%%% no answer'));
+    expect(outcome.text).to.equal('unknown: malformed_response');
+  });
+
+  it('accepts a status line that arrives byte by byte', async () => {
+    const outcome = await exchangeWith(async (socket, id) => {
+      for (const byte of framedResponse(id, 'x')) {
+        socket.write(byte);
+        await pause(1);
+      }
+    });
+    expect(outcome.text).to.equal('200 1 bytes');
+  });
+
   it('guards against an unhandled error when a body fails in the read that starts its stream', async () => {
     const outcome = await exchangeWith(socket => {
       // Everything arrives in the same reads of the connection.
--- a/cli/carobseam/src/explain_request.ts
+++ b/cli/carobseam/src/explain_request.ts
@@ -58,6 +58,7 @@
 
 const UNKNOWNS: Record<string, string> = {
   connection_lost: 'the worker or its relay ended the connection',
+  head_too_large: 'the status line and headers of the response had no end',
   malformed_response: 'the bytes of the worker were no response',
   noVerdict: 'the relay of the worker did not say what became of it',
   silent: 'the VM of the worker sent nothing for 600 ms',
