--- a/calls/exchange/src/exchange_types.ts
+++ b/calls/exchange/src/exchange_types.ts
@@ -55,6 +55,7 @@
   | 'connect_timeout'
   | 'connection_lost'
   | 'malformed_response'
+  | 'head_too_large'
   | 'silent'
   | 'cancelled'
   | 'body_failed';
--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -195,10 +195,16 @@
     try {
       this.#reader.read(chunk);
     } catch {
-      this.#fail('malformed_response');
+      this.#fail(this.#parseFailureReason());
     }
   }
 
+  #parseFailureReason(): FailureReason {
+    return !this.#current?.head && this.#reader.isHeadTooLarge
+      ? 'head_too_large'
+      : 'malformed_response';
+  }
+
   #onHead(head: ResponseHead): boolean {
     const current = this.#current;
     this.#isSkippingResponse = head.status < 200;
@@ -255,6 +261,8 @@
         done(error);
       },
     });
+    // The stream may fail before its receiver listens for errors.
+    current.stream.on('error', () => {});
     for (const chunk of current.chunks) {
       current.stream.push(chunk);
     }
--- a/cli/carobseam/src/explain_request.ts
+++ b/cli/carobseam/src/explain_request.ts
@@ -58,6 +58,7 @@
 
 const UNKNOWNS: Record<string, string> = {
   connection_lost: 'the worker or its relay ended the connection',
+  head_too_large: 'the status line and headers of the response had no end',
   malformed_response: 'the bytes of the worker were no response',
   noVerdict: 'the relay of the worker did not say what became of it',
   silent: 'the VM of the worker sent nothing for 600 ms',
@@ -65,10 +66,17 @@
   unsealed: 'the response was not signed by the worker',
 };
 
+const BREAK_OFFS: Record<string, string> = {
+  relayEnds: 'the relay stopped',
+  timeout: 'the limit of the route or the caller was reached',
+};
+
 const OUTCOMES: Record<string, (fields: Fields) => string> = {
   answered: ({status, attempts}) =>
     `Answered with the worker's status ${status} after ${attempts} sends.`,
   bodyFailed: ({cause}) => `The body could not be read: ${cause}.`,
+  brokenOff: ({reason, durationMs}) =>
+    `The response was broken off after ${durationMs} ms, in the middle of its body: ${BREAK_OFFS[reason!] ?? reason}.`,
   callerLeft: () => 'The caller left before there was a response.',
   noConfig: () => 'Refused: the relay had not read a configuration yet.',
   noRoute: ({host, version}) =>
