feat(relay): log what became of an attempt at both relays

Callers saw a 502 after a silent hop, and the logs could not tell how long the attempt took, how long the other relay was silent, whether it had sent an interim response, or why there was no retry. A hop that the sending relay closed left no line at the worker's relay at all.

Change: `attempt_failed` states `vmAddress`, `durationMs`, `silentMs`, `interims` and `bytes` of a hop, `waitedMs` and `ranMs` of a local worker, and `retryDenied`. `gate_decision` states `waitedMs` and `ranMs`, and has the reason `senderLeft` with `leftAfterMs`, `interims` and `result`. Requests are handled as before.

--- a/calls/exchange/src/exchange_types.ts
+++ b/calls/exchange/src/exchange_types.ts
@@ -34,6 +34,15 @@
   /** `notSent` when no byte of the request was written, otherwise `unknown`. */
   kind: 'notSent' | 'unknown';
   reason: FailureReason;
+  /** Bytes that the peer sent during the exchange. */
+  receivedBytes: number;
+  /** Interim responses that the peer sent. */
+  receivedInterims: number;
+  /**
+   * Time since the last byte was received, or since the request was written if
+   * there was none, in ms; undefined when it was not written.
+   */
+  silentMs?: number;
 }
 
 /** Why an exchange has no response. */
--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -19,6 +19,10 @@
   head?: ResponseHead;
   chunks: Buffer[];
   bytes: number;
+  receivedBytes: number;
+  receivedInterims: number;
+  /** When the request was written or the last byte was received. */
+  lastActiveMs?: number;
   stream?: Readable;
   inactivityTimer?: NodeJS.Timeout;
 }
@@ -90,6 +94,8 @@
       isBodySent: false,
       chunks: [],
       bytes: 0,
+      receivedBytes: 0,
+      receivedInterims: 0,
     };
     if (this.#isConnected) {
       this.#write(this.#current);
@@ -123,6 +129,7 @@
       lines.push(`${request.headers[index]}: ${request.headers[index + 1]}`);
     }
     current.isWritten = true;
+    current.lastActiveMs = performance.now();
     this.#restartInactivityTimer(current);
     if (request.body instanceof Readable) {
       lines.push('Transfer-Encoding: chunked');
@@ -184,6 +191,8 @@
       this.close();
       return;
     }
+    this.#current.receivedBytes += chunk.length;
+    this.#current.lastActiveMs = performance.now();
     this.#restartInactivityTimer(this.#current);
     try {
       this.#reader.read(chunk);
@@ -195,6 +204,9 @@
   #onHead(head: ResponseHead): boolean {
     const current = this.#current;
     this.#isSkippingResponse = head.status < 200;
+    if (current && this.#isSkippingResponse) {
+      current.receivedInterims++;
+    }
     if (!current || this.#isSkippingResponse) {
       return false;
     }
@@ -344,7 +356,9 @@
     const kind: ExchangeFailure['kind'] = current.isWritten
       ? 'unknown'
       : 'notSent';
-    current.onResult({kind, reason});
+    const {receivedBytes, receivedInterims, lastActiveMs} = current;
+    const silentMs = lastActiveMs && performance.now() - lastActiveMs;
+    current.onResult({kind, reason, receivedBytes, receivedInterims, silentMs});
   }
 
   #restartInactivityTimer(current: PendingExchange): void {
--- a/calls/exchange/test/connection_pool.test.ts
+++ b/calls/exchange/test/connection_pool.test.ts
@@ -1,5 +1,6 @@
 import {
   ConnectionPool,
+  type ExchangeFailure,
   type ExchangeRequest,
   type ExchangeResult,
 } from '@carobseam/calls.exchange';
@@ -13,6 +14,17 @@
   type RawRequestHandler,
 } from './raw_worker.js';
 
+function createPool(address: string): ConnectionPool {
+  return new ConnectionPool({
+    clock: new SystemClock(),
+    address,
+    connectTimeoutMs: 500,
+    idleTtlMs: 5000,
+    maxIdle: 4,
+    requestIdHeader: 'x-request-id',
+  });
+}
+
 async function withWorker(
   handleRequest: RawRequestHandler,
   run: (
@@ -21,14 +33,7 @@
   ) => Promise<void>,
 ): Promise<void> {
   const worker = await startRawWorker(handleRequest);
-  const pool = new ConnectionPool({
-    clock: new SystemClock(),
-    address: worker.address,
-    connectTimeoutMs: 500,
-    idleTtlMs: 5000,
-    maxIdle: 4,
-    requestIdHeader: 'x-request-id',
-  });
+  const pool = createPool(worker.address);
   const send = async (id: string, overrides: Partial<ExchangeRequest> = {}) => {
     const exchange = pool.exchange({
       method: 'GET',
@@ -67,6 +72,28 @@
 }
 
 describe('ConnectionPool', () => {
+  it('guards against a failure that does not state what the peer sent before it', async () => {
+    const interim = 'HTTP/1.1 102 Processing\r\n\r\n';
+    const worker = await startRawWorker(socket => socket.write(interim));
+    const pool = createPool(worker.address);
+    const {result} = pool.exchange({
+      method: 'GET',
+      url: '/',
+      headers: [],
+      body: Buffer.alloc(0),
+      inactivityTimeoutMs: 100,
+    });
+    const failure = (await result) as ExchangeFailure;
+    pool.close();
+    await worker.close();
+    expect(failure).to.include({
+      reason: 'silent',
+      receivedBytes: interim.length,
+      receivedInterims: 1,
+    });
+    expect(failure.silentMs).to.be.within(90, 1000);
+  });
+
   it('reuses an idle connection', async () => {
     await withWorker(
       (socket, id) => socket.write(framedResponse(id, id)),
--- a/calls/placement/src/decide_next_step.ts
+++ b/calls/placement/src/decide_next_step.ts
@@ -40,6 +40,14 @@
   /** Report to the caller that the outcome is unknown. */
   | 'reportUnknown';
 
+/** Why a request was not sent again. */
+export type RetryDenial =
+  | 'notIdempotent'
+  /** As many attempts were made as are allowed. */
+  | 'attempts'
+  | 'time'
+  | 'budget';
+
 const MAX_UNSENT_ATTEMPTS = 3; // after three refusals the whole service is probably full
 const MIN_REMAINING_MS = 30; // no worker responds in less
 
@@ -51,6 +59,27 @@
   return STEPS[inputs.outcome](inputs);
 }
 
+/**
+ * Returns why there is no further attempt, for inputs after which
+ * `decideNextStep` did not choose to send the request again.
+ */
+export function retryDenialOf(
+  inputs: Omit<StepInputs, 'takeRetry'>,
+): RetryDenial {
+  const {outcome} = inputs;
+  if (!inputs.isIdempotent && (outcome === 'failed' || outcome === 'unknown')) {
+    return 'notIdempotent';
+  }
+  const isLastAttempt =
+    outcome === 'notSent'
+      ? inputs.unsentAttempts >= MAX_UNSENT_ATTEMPTS
+      : inputs.sentAttempts >= inputs.maxAttempts;
+  if (isLastAttempt) {
+    return 'attempts';
+  }
+  return inputs.expiresInMs > MIN_REMAINING_MS ? 'budget' : 'time';
+}
+
 const STEPS: Record<AttemptOutcome, (inputs: StepInputs) => NextStep> = {
   answered: () => 'deliver',
   failed: inputs =>
--- a/calls/placement/test/decide_next_step.test.ts
+++ b/calls/placement/test/decide_next_step.test.ts
@@ -1,4 +1,9 @@
-import {decideNextStep, type StepInputs} from '@carobseam/calls.placement';
+import {
+  decideNextStep,
+  retryDenialOf,
+  type RetryDenial,
+  type StepInputs,
+} from '@carobseam/calls.placement';
 import {expect} from 'chai';
 
 function decide(overrides: Partial<StepInputs>): string {
@@ -73,3 +78,29 @@
     );
   });
 });
+
+describe('retryDenialOf', () => {
+  const inputs = {
+    outcome: 'unknown',
+    isIdempotent: true,
+    sentAttempts: 1,
+    maxAttempts: 2,
+    mayHaveRun: false,
+    unsentAttempts: 0,
+    expiresInMs: 1000,
+  } as const;
+  const cases: Array<[Partial<StepInputs>, RetryDenial]> = [
+    [{}, 'budget'],
+    [{isIdempotent: false}, 'notIdempotent'],
+    [{outcome: 'rejected', isIdempotent: false}, 'budget'],
+    [{sentAttempts: 2}, 'attempts'],
+    [{outcome: 'notSent', unsentAttempts: 3}, 'attempts'],
+    [{outcome: 'notSent', expiresInMs: 10}, 'time'],
+    [{expiresInMs: 10}, 'time'],
+  ];
+  for (const [overrides, expected] of cases) {
+    it(`says ${expected} after ${JSON.stringify(overrides)}`, () => {
+      expect(retryDenialOf({...inputs, ...overrides})).to.equal(expected);
+    });
+  }
+});
--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -1,4 +1,6 @@
 import {discardResponse} from '@carobseam/calls.exchange';
+import type {WorkerLoad} from '@carobseam/calls.worker_queue';
+import type {LogFields} from '@carobseam/core.logger';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import {forwardedHeaders} from './forwarded_headers.js';
@@ -8,6 +10,7 @@
   hopHeaders,
   toQueuedRequest,
 } from './hop_message.js';
+import {gateTimes, roundMs} from './log_times.js';
 import {BodyTooLargeError, readBody} from './read_body.js';
 import type {RelayContext} from './relay_context.js';
 import {sendResponse} from './send_response.js';
@@ -22,6 +25,14 @@
   wireHeaders.expectedWorker,
 ]);
 
+/** What the sending relay has seen of a request in progress. */
+interface HopProgress {
+  /** Interim responses sent to it. */
+  interims: number;
+  /** When its connection closed, on the monotonic clock, in ms. */
+  closedMs?: number;
+}
+
 /** Options of `InboundHandler`. */
 export type InboundHandlerOptions = Pick<
   RelayContext,
@@ -67,6 +78,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const {clock, workerGate} = this.#options;
+    const arrivedMs = clock.monotonicMs();
     const hop = decodeHopRequest(
       request.headers[hopHeaders.request] as string | undefined,
     );
@@ -75,7 +87,7 @@
       response.end();
       return;
     }
-    const scheduling = toQueuedRequest(hop, clock.monotonicMs());
+    const scheduling = toQueuedRequest(hop, arrivedMs);
     scheduling.expiresAtMs = Math.min(
       scheduling.expiresAtMs,
       this.#options.shutdownDeadlineMs(),
@@ -98,9 +110,16 @@
       body,
       requestId: requestIdOf(request),
     });
-    this.#sendInterimResponses(response, ticket);
+    const progress = this.#sendInterimResponses(response, ticket);
     const result = await ticket.result;
     if (response.destroyed) {
+      const leftMs = progress.closedMs ?? clock.monotonicMs();
+      this.#recordDecision(request, result, workerGate.load, {
+        reason: 'senderLeft',
+        leftAfterMs: roundMs(leftMs - arrivedMs),
+        interims: progress.interims,
+        result: result.reason,
+      });
       discardResponse(result.response);
       return;
     }
@@ -111,21 +130,45 @@
    * Sends interim responses while the request is in progress, so that the
    * sending relay does not run into its inactivity timeout.
    */
-  #sendInterimResponses(response: ServerResponse, ticket: GateTicket): void {
+  #sendInterimResponses(
+    response: ServerResponse,
+    ticket: GateTicket,
+  ): HopProgress {
     const {clock} = this.#options;
+    const progress: HopProgress = {interims: 0};
     const sendInterim = () => {
       if (!response.headersSent && !response.destroyed) {
         response.writeProcessing();
+        progress.interims++;
         timer = clock.setTimer(INTERIM_INTERVAL_MS, sendInterim);
       }
     };
     let timer = clock.setTimer(FIRST_INTERIM_MS, sendInterim);
     response.once('close', () => {
       timer.cancel();
+      progress.closedMs = clock.monotonicMs();
       if (!response.writableFinished) {
         ticket.cancel();
       }
     });
+    return progress;
+  }
+
+  #recordDecision(
+    request: IncomingMessage,
+    result: GateResult,
+    load: WorkerLoad,
+    {reason, ...fields}: LogFields & {reason: string},
+  ): void {
+    this.#options.log.gateDecision(reason, {
+      id: requestIdOf(request),
+      outcome: result.verdict,
+      ...gateTimes(result),
+      ...fields,
+      running: load.running,
+      queued: load.queued.join(),
+      serviceMs: Math.round(load.meanServiceMs),
+    });
   }
 
   #respond(
@@ -133,7 +176,7 @@
     response: ServerResponse,
     result: GateResult,
   ): void {
-    const {workerGate, log, isDraining} = this.#options;
+    const {workerGate, isDraining} = this.#options;
     const load = workerGate.load;
     const verdict = encodeHopResponse({
       verdict: result.verdict,
@@ -142,13 +185,7 @@
       load: {...load, isLeaving: load.isLeaving || isDraining()},
     });
     if (result.verdict !== 'answered') {
-      log.gateDecision(result.reason, {
-        id: requestIdOf(request),
-        outcome: result.verdict,
-        running: load.running,
-        queued: load.queued.join(),
-        serviceMs: Math.round(load.meanServiceMs),
-      });
+      this.#recordDecision(request, result, load, {reason: result.reason});
     }
     if (result.response) {
       sendResponse(response, result.response, [hopHeaders.response, verdict]);
--- a/calls/relay/src/request_dispatcher.ts
+++ b/calls/relay/src/request_dispatcher.ts
@@ -6,6 +6,7 @@
 import {
   chooseWorker,
   decideNextStep,
+  retryDenialOf,
   type AttemptOutcome,
   type WorkerChoice,
 } from '@carobseam/calls.placement';
@@ -16,6 +17,7 @@
   type MeshWorker,
   type WorkerId,
 } from '@carobseam/config.mesh';
+import type {LogFields} from '@carobseam/core.logger';
 import type {ServiceName} from '@carobseam/core.types';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import {Readable} from 'node:stream';
@@ -27,6 +29,7 @@
   type HopRequest,
 } from './hop_message.js';
 import type {RelayContext} from './relay_context.js';
+import {gateTimes, roundMs} from './log_times.js';
 import type {GateResult} from './worker_gate.js';
 
 const HOP_INACTIVITY_TIMEOUT_MS = 600; // the worker's relay sends an interim response every 200 ms; two may be late
@@ -64,6 +67,8 @@
   reason: string;
   waitMs: number;
   response?: ExchangeResponse;
+  /** What happened during the attempt, for the log. */
+  details?: LogFields;
 }
 
 /**
@@ -79,6 +84,7 @@
   #mayHaveRun = false;
   #isCancelled = false;
   #shortestWaitMs = Infinity;
+  #attemptStartMs = 0;
   #failedResponse?: ExchangeResponse;
   #cancelAttempt: () => void = () => {};
 
@@ -142,7 +148,7 @@
   ): DispatchResult | undefined {
     const {retryBudgets, clock, log, state} = this.#context;
     const {route, service} = this.#request;
-    const step = decideNextStep({
+    const inputs = {
       outcome: attempt.outcome,
       // A streamed request body can be sent only once, and a streamed response
       // cannot be kept for delivery after a retry.
@@ -155,6 +161,9 @@
       mayHaveRun: this.#mayHaveRun,
       unsentAttempts: this.#unsentAttempts,
       expiresInMs: this.#request.expiresAtMs - clock.monotonicMs(),
+    };
+    const step = decideNextStep({
+      ...inputs,
       takeRetry: () => {
         const isTaken = !this.#isCancelled && retryBudgets.take(service);
         if (!isTaken) {
@@ -167,17 +176,31 @@
       log.attemptFailed(attempt.outcome, {
         id: this.#request.id,
         worker: worker.id,
+        vmAddress: vmAddressOf(worker),
         dataCentre: worker.dataCentre,
         reason: attempt.reason,
+        durationMs: Math.round(clock.monotonicMs() - this.#attemptStartMs),
+        ...attempt.details,
         sends: this.#sentAttempts,
         offers: this.#unsentAttempts,
         version: state.config?.version,
         outcome: step,
+        retryDenied: this.#retryDenialAfter(step, inputs),
       });
     }
     return this.#finish(step, attempt);
   }
 
+  #retryDenialAfter(
+    step: ReturnType<typeof decideNextStep>,
+    inputs: Parameters<typeof retryDenialOf>[0],
+  ): string | undefined {
+    if (this.#isCancelled) {
+      return 'cancelled';
+    }
+    return step === 'sendAgain' ? undefined : retryDenialOf(inputs);
+  }
+
   #finish(
     step: ReturnType<typeof decideNextStep>,
     attempt: Attempt,
@@ -227,6 +250,7 @@
       leftMs: Math.round(request.expiresAtMs - nowMs),
       version: state.config?.version,
     });
+    this.#attemptStartMs = nowMs;
     this.#triedWorkerIds.add(worker.id);
     this.#sentAttempts++;
     workerLoads.recordAttemptStart(worker.id);
@@ -326,7 +350,13 @@
 }
 
 function failureToAttempt(failure: ExchangeFailure): Attempt {
-  return {outcome: failure.kind, reason: failure.reason, waitMs: 0};
+  const {kind, reason, silentMs, receivedInterims, receivedBytes} = failure;
+  const details = {
+    silentMs: roundMs(silentMs),
+    interims: receivedInterims,
+    bytes: receivedBytes,
+  };
+  return {outcome: kind, reason, waitMs: 0, details};
 }
 
 const FULL_REASONS = new Set(['wouldBeLate', 'wouldExpire']);
@@ -335,9 +365,10 @@
 function toAttempt(result: GateResult): Attempt {
   const {verdict, reason, response} = result;
   const waitMs = result.retryAfterMs;
+  const details = gateTimes(result);
   if (verdict === 'answered') {
     const outcome = response!.status >= 500 ? 'failed' : 'answered';
-    return {outcome, reason, waitMs, response};
+    return {outcome, reason, waitMs, response, details};
   }
-  return {outcome: verdict, reason, waitMs};
+  return {outcome: verdict, reason, waitMs, details};
 }
--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -40,6 +40,10 @@
   reason: string;
   retryAfterMs: number;
   response?: ExchangeResponse;
+  /** Time from the submission until the request was sent or refused, in ms. */
+  waitedMs?: number;
+  /** Time since the request was sent to the worker, in ms. */
+  ranMs?: number;
 }
 
 /** A request that was submitted to the gate. */
@@ -74,6 +78,8 @@
 interface PendingRequest extends QueuedRequest {
   request: GateRequest;
   resolve: (result: GateResult) => void;
+  submittedMs: number;
+  startedMs?: number;
   exchange?: Exchange;
   expiryTimer?: Timer;
 }
@@ -140,7 +146,12 @@
   submit(request: GateRequest): GateTicket {
     let resolve!: (result: GateResult) => void;
     const result = new Promise<GateResult>(res => (resolve = res));
-    const pending: PendingRequest = {...request.scheduling, request, resolve};
+    const pending: PendingRequest = {
+      ...request.scheduling,
+      request,
+      resolve,
+      submittedMs: this.#options.clock.monotonicMs(),
+    };
     if (this.#options.isGone(request.worker)) {
       resolve({verdict: 'notSent', reason: 'workerGone', retryAfterMs: 0});
     } else {
@@ -164,7 +175,7 @@
       this.#start(pending);
     } else if (submitted.kind === 'refused') {
       const {reason, retryAfterMs} = submitted;
-      pending.resolve({verdict: 'notSent', reason, retryAfterMs});
+      this.#resolve(pending, {verdict: 'notSent', reason, retryAfterMs});
     } else {
       const remainingMs =
         pending.expiresAtMs - this.#options.clock.monotonicMs();
@@ -195,6 +206,7 @@
     pending.expiryTimer?.cancel();
     const {request} = pending;
     const startMs = this.#options.clock.monotonicMs();
+    pending.startedMs = startMs;
     const deadlineMs = Math.max(1, Math.floor(pending.expiresAtMs - startMs));
     pending.exchange = this.#pool.exchange({
       method: request.method,
@@ -238,6 +250,10 @@
 
   #resolve(pending: PendingRequest, result: GateResult): void {
     pending.expiryTimer?.cancel();
+    const {submittedMs, startedMs} = pending;
+    const nowMs = this.#options.clock.monotonicMs();
+    result.waitedMs = (startedMs ?? nowMs) - submittedMs;
+    result.ranMs = startedMs === undefined ? undefined : nowMs - startedMs;
     pending.resolve(result);
   }
 
