fix(relay): count only budget denials as retries without budget

On-call engineers saw `carobseam_relay_budget_spent_total` grow for requests whose caller had left or timed out.

Cause: the callback that takes a retry reported an exhausted budget whenever it refused one, and it refuses every retry of a cancelled request.

Evidence: the new test saw 1 report instead of 0 before the fix and passes after it. The budget itself is asked as before.

--- a/calls/relay/src/request_dispatcher.ts
+++ b/calls/relay/src/request_dispatcher.ts
@@ -166,7 +166,7 @@
       ...inputs,
       takeRetry: () => {
         const isTaken = !this.#isCancelled && retryBudgets.take(service);
-        if (!isTaken) {
+        if (!isTaken && !this.#isCancelled) {
           log.retryBudgetExhausted(service);
         }
         return isTaken;
--- a/calls/relay/test/request_dispatcher.test.ts
+++ b/calls/relay/test/request_dispatcher.test.ts
@@ -62,6 +62,7 @@
 function createFailingContext(hasRetries = true) {
   const clock = new ManualClock();
   const failures: LogFields[] = [];
+  let exhaustedCount = 0;
   const worker = createWorker('10.0.0.7:7900');
   const context = {
     ...createContext().context,
@@ -83,10 +84,14 @@
       requestPlaced: () => {},
       attemptFailed: (_reason: string, fields: LogFields) =>
         failures.push(fields),
-      retryBudgetExhausted: () => {},
+      retryBudgetExhausted: () => exhaustedCount++,
     },
   };
-  return {context: context as unknown as RelayContext, failures};
+  return {
+    context: context as unknown as RelayContext,
+    failures,
+    exhaustedCount: () => exhaustedCount,
+  };
 }
 
 describe('RequestDispatcher', () => {
@@ -127,4 +132,14 @@
       expect(failures[0]!['retryDenied']).to.equal(expected);
     }
   });
+
+  it('guards against counting a cancelled request as one without retry budget', async () => {
+    const {context, failures, exhaustedCount} = createFailingContext();
+    const dispatcher = createDispatcher(context);
+    const result = dispatcher.dispatch();
+    dispatcher.cancel();
+    await result;
+    expect(failures[0]!['retryDenied']).to.equal('cancelled');
+    expect(exhaustedCount()).to.equal(0);
+  });
 });
