--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -19,6 +19,10 @@
   head?: ResponseHead;
   chunks: Buffer[];
   bytes: number;
+  receivedBytes: number;
+  receivedInterims: number;
+  /** When the request was written or the last byte was received. */
+  lastActiveMs?: number;
   stream?: Readable;
   silenceTimer?: NodeJS.Timeout;
   /** Reports of silence since the last received byte. */
@@ -95,6 +99,8 @@
       chunks: [],
       bytes: 0,
       silentIntervals: 0,
+      receivedBytes: 0,
+      receivedInterims: 0,
     };
     if (this.#isConnected) {
       this.#write(this.#current);
@@ -130,6 +136,7 @@
     }
     current.isWritten = true;
     this.#restartSilenceTimer(current);
+    current.lastActiveMs = performance.now();
     if (request.body instanceof Readable) {
       lines.push('Transfer-Encoding: chunked');
       this.#socket.write(`${lines.join('\r\n')}\r\n\r\n`, 'latin1');
@@ -192,6 +199,8 @@
       return;
     }
     this.#restartSilenceTimer(this.#current);
+    this.#current.receivedBytes += chunk.length;
+    this.#current.lastActiveMs = performance.now();
     try {
       this.#reader.read(chunk);
     } catch {
@@ -208,6 +217,9 @@
   #onHead(head: ResponseHead): boolean {
     const current = this.#current;
     this.#isSkippingResponse = head.status < 200;
+    if (current && this.#isSkippingResponse) {
+      current.receivedInterims++;
+    }
     if (!current || this.#isSkippingResponse) {
       return false;
     }
@@ -359,7 +371,9 @@
     const kind: ExchangeFailure['kind'] = current.isWritten
       ? 'unknown'
       : 'notSent';
-    current.onResult({kind, reason});
+    const {receivedBytes, receivedInterims, lastActiveMs} = current;
+    const silentMs = lastActiveMs && performance.now() - lastActiveMs;
+    current.onResult({kind, reason, receivedBytes, receivedInterims, silentMs});
   }
 
   #restartSilenceTimer(current: PendingExchange): void {
--- /dev/null
+++ b/calls/relay/src/attempt.ts
@@ -0,0 +1,159 @@
+import {headerValue} from '@carobseam/calls.exchange';
+import {vmAddressOf, type MeshWorker} from '@carobseam/config.mesh';
+import {wireHeaders} from '@carobseam/platform.adapter';
+import {
+  failureToAttemptResult,
+  toAttemptResult,
+  type AttemptResult,
+} from './attempt_result.js';
+import type {DispatchedRequest} from './dispatched_request.js';
+import {
+  decodeHopResponse,
+  encodeHopRequest,
+  hopHeaders,
+  toQueuedRequest,
+  type HopRequest,
+} from './hop_message.js';
+import type {RelayContext} from './relay_context.js';
+
+const SILENCE_INTERVAL_MS = 300; // half of the time until a hop counts as silent, so that a denied retry is tried again soon
+const SILENT_HOP_MS = 600; // the worker's relay sends an interim response every 200 ms; two may be late
+const DEAD_CONNECTION_MS = 1000; // a relay that answers probes sends an interim response well within this time
+
+/** Options of `Attempt`. */
+export interface AttemptOptions {
+  context: RelayContext;
+  request: DispatchedRequest;
+  worker: MeshWorker;
+  /**
+   * Called repeatedly while the hop to the worker's relay is silent.
+   *
+   * @param isFirst whether it is the first report of this silence.
+   */
+  onSilent: (silentMs: number, isFirst: boolean) => void;
+}
+
+/** One attempt to have a worker run a request, which is sent once. */
+export class Attempt {
+  readonly worker: MeshWorker;
+  /** On the monotonic clock, in ms. */
+  readonly startMs: number;
+  /** Whether another attempt was started because this one is silent. */
+  isHedged = false;
+  readonly #options: AttemptOptions;
+  #cancel: () => void = () => {};
+  #silentSinceMs?: number;
+
+  constructor(options: AttemptOptions) {
+    this.#options = options;
+    this.worker = options.worker;
+    this.startMs = options.context.clock.monotonicMs();
+  }
+
+  /** Aborts the attempt, unless the worker runs a request that is not idempotent. */
+  cancel(): void {
+    this.#cancel();
+  }
+
+  send(): Promise<AttemptResult> {
+    const {context, request} = this.#options;
+    const hop: HopRequest = {
+      worker: this.worker.id,
+      isIdempotent: request.route.isIdempotent,
+      rank: request.route.rank,
+      isLastCallerAttempt: request.isLastCallerAttempt,
+      dueInMs: request.dueAtMs - this.startMs,
+      expiresInMs: request.expiresAtMs - this.startMs,
+    };
+    return this.worker.address === context.workerAddress
+      ? this.#sendToLocalWorker(hop)
+      : this.#sendToPeer(hop);
+  }
+
+  async #sendToLocalWorker(hop: HopRequest): Promise<AttemptResult> {
+    const {context, request} = this.#options;
+    const {workerGate, workerLoads} = context;
+    const ticket = workerGate.submit({
+      worker: hop.worker,
+      isIdempotent: hop.isIdempotent,
+      scheduling: toQueuedRequest(hop, this.startMs),
+      method: request.method,
+      url: request.url,
+      headers: [...request.headers, wireHeaders.expectedWorker, hop.worker],
+      body: request.body,
+      requestId: request.id,
+    });
+    this.#cancel = () => ticket.cancel();
+    const result = await ticket.result;
+    workerLoads.recordReport(hop.worker, workerGate.load);
+    return toAttemptResult(result);
+  }
+
+  async #sendToPeer(hop: HopRequest): Promise<AttemptResult> {
+    const {context, request} = this.#options;
+    const {workerLoads, peerHealth, peerPools} = context;
+    const vmAddress = vmAddressOf(this.worker);
+    const exchange = peerPools.poolFor(vmAddress).exchange({
+      method: request.method,
+      url: request.url,
+      headers: [...request.headers, hopHeaders.request, encodeHopRequest(hop)],
+      body: request.body,
+      requestId: request.id,
+      silenceWatch: {
+        intervalMs: SILENCE_INTERVAL_MS,
+        onSilent: silentMs =>
+          silentMs < SILENT_HOP_MS ? 'wait' : this.#handleSilence(silentMs),
+      },
+    });
+    this.#cancel = () => exchange.cancel();
+    const result = await exchange.result;
+    if (result.kind !== 'response') {
+      if (result.reason !== 'cancelled') {
+        peerHealth.markDown(vmAddress);
+      }
+      return failureToAttemptResult(result);
+    }
+    const hopResponse = decodeHopResponse(
+      headerValue(result.headers, hopHeaders.response),
+    );
+    if (!hopResponse) {
+      return {outcome: 'unknown', reason: 'noVerdict', waitMs: 0};
+    }
+    workerLoads.recordReport(this.worker.id, hopResponse.load);
+    return toAttemptResult({...hopResponse, response: result});
+  }
+
+  /**
+   * Handles a hop without any byte for some time. Silence alone does not end the
+   * attempt: the request may be running on the worker behind a relay that is
+   * short of processor time.
+   */
+  #handleSilence(silentMs: number): 'wait' | 'end' {
+    const {context, request, onSilent} = this.#options;
+    const isFirst = this.#silentSinceMs === undefined;
+    this.#silentSinceMs ??= context.clock.monotonicMs();
+    if (isFirst) {
+      context.peerHealth.markDown(vmAddressOf(this.worker));
+    }
+    if (request.route.isIdempotent && this.#isHopDead(this.#silentSinceMs)) {
+      return 'end';
+    }
+    onSilent(silentMs, isFirst);
+    return 'wait';
+  }
+
+  /**
+   * Whether no response can come any more: the VM cannot be reached, or its
+   * relay responds on new connections but not on that of the attempt.
+   */
+  #isHopDead(silentSinceMs: number): boolean {
+    const {clock, peerHealth} = this.#options.context;
+    const vmAddress = vmAddressOf(this.worker);
+    const answeredMs = peerHealth.lastAnswerMs(vmAddress);
+    return (
+      peerHealth.isUnreachable(vmAddress) ||
+      (answeredMs >= silentSinceMs &&
+        clock.monotonicMs() - answeredMs >= DEAD_CONNECTION_MS)
+    );
+  }
+}
--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -4,15 +4,12 @@
 import {wireHeaders} from '@carobseam/platform.adapter';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Readable} from 'node:stream';
+import type {DispatchedRequest, DispatchResult} from './dispatched_request.js';
 import {forwardedHeaders} from './forwarded_headers.js';
 import {hopHeaders} from './hop_message.js';
 import {BodyTooLargeError, readBody} from './read_body.js';
 import type {RelayContext} from './relay_context.js';
-import {
-  RequestDispatcher,
-  type DispatchResult,
-  type DispatchedRequest,
-} from './request_dispatcher.js';
+import {RequestDispatcher} from './request_dispatcher.js';
 import {computeRetryAfterMs} from './retry_after.js';
 import {sendResponse} from './send_response.js';
 
--- a/calls/relay/src/request_dispatcher.ts
+++ b/calls/relay/src/request_dispatcher.ts
@@ -1,85 +1,27 @@
 import {
   discardResponse,
-  headerValue,
-  type ExchangeFailure,
   type ExchangeResponse,
 } from '@carobseam/calls.exchange';
 import {
   chooseWorker,
   decideNextStep,
-  type AttemptOutcome,
+  retryDenialOf,
   type NextStep,
+  type StepInputs,
   type WorkerChoice,
 } from '@carobseam/calls.placement';
 import {priorityClassOf} from '@carobseam/calls.worker_queue';
-import {
-  vmAddressOf,
-  type MeshRoute,
-  type MeshWorker,
-  type WorkerId,
-} from '@carobseam/config.mesh';
+import {vmAddressOf, type WorkerId} from '@carobseam/config.mesh';
 import type {LogFields} from '@carobseam/core.logger';
-import type {ServiceName} from '@carobseam/core.types';
-import {wireHeaders} from '@carobseam/platform.adapter';
 import {Readable} from 'node:stream';
+import {Attempt} from './attempt.js';
 import {
-  decodeHopResponse,
-  encodeHopRequest,
-  hopHeaders,
-  toQueuedRequest,
-  type HopRequest,
-} from './hop_message.js';
+  FULL_REASONS,
+  STALE_ADDRESS_REASONS,
+  type AttemptResult,
+} from './attempt_result.js';
+import type {DispatchedRequest, DispatchResult} from './dispatched_request.js';
 import type {RelayContext} from './relay_context.js';
-import type {GateResult} from './worker_gate.js';
-
-const SILENCE_INTERVAL_MS = 300; // half of the time until a hop counts as silent, so that a denied retry is tried again soon
-const SILENT_HOP_MS = 600; // the worker's relay sends an interim response every 200 ms; two may be late
-const DEAD_CONNECTION_MS = 1000; // a relay that answers probes sends an interim response well within this time
-
-/** A request from a caller, with its route. */
-export interface DispatchedRequest {
-  id: string | undefined;
-  route: MeshRoute;
-  service: ServiceName;
-  method: string;
-  url: string;
-  headers: string[];
-  body: Buffer | Readable;
-  /** Whether the caller has no time for a retry after a refusal. */
-  isLastCallerAttempt: boolean;
-  /**
-   * When the response misses the target latency, on the monotonic clock, in ms.
-   */
-  dueAtMs: number;
-  /** When the caller's or the route's timeout ends, on the same clock. */
-  expiresAtMs: number;
-}
-
-/**
- * Outcome of a dispatched request: a response, a refusal that guarantees that
- * no worker ran the request, or an unknown outcome.
- */
-export type DispatchResult =
-  | {kind: 'response'; response: ExchangeResponse; attempts: number}
-  | {kind: 'refused'; reason: string; waitMs: number; serviceMs: number}
-  | {kind: 'unknown'; reason: string};
-
-interface AttemptResult {
-  outcome: AttemptOutcome;
-  reason: string;
-  waitMs: number;
-  response?: ExchangeResponse;
-}
-
-/** An attempt in progress. */
-interface Attempt {
-  worker: MeshWorker;
-  cancel: () => void;
-  /** When the hop was first found silent, on the monotonic clock, in ms. */
-  silentSinceMs?: number;
-  /** Whether another attempt was started because this one is silent. */
-  isHedged: boolean;
-}
 
 /**
  * Dispatches one request: sends it to a worker and retries with other workers
@@ -173,21 +115,23 @@
       discardResponse(result.response);
       return;
     }
-    const step = this.#decideNextStep(result);
+    const inputs = this.#stepInputs(result);
+    const step = this.#decideNextStep(inputs);
     if (result.outcome !== 'answered') {
       this.#context.log.attemptFailed(result.outcome, {
         ...this.#describe(attempt),
         reason: result.reason,
+        ...result.details,
         outcome: step,
+        retryDenied: this.#retryDenialAfter(step, inputs),
       });
     }
     this.#takeStep(step, result);
   }
 
-  #decideNextStep(result: AttemptResult): NextStep {
-    const {retryBudgets, clock, log} = this.#context;
-    const {route, service, body, expiresAtMs} = this.#request;
-    return decideNextStep({
+  #stepInputs(result: AttemptResult): Omit<StepInputs, 'takeRetry'> {
+    const {route, body, expiresAtMs} = this.#request;
+    return {
       outcome: result.outcome,
       // A streamed request body can be sent only once, and a streamed response
       // cannot be kept for delivery after a retry.
@@ -199,10 +143,18 @@
       maxAttempts: route.maxAttempts,
       mayHaveRun: this.#mayHaveRun,
       unsentAttempts: this.#unsentAttempts,
-      expiresInMs: expiresAtMs - clock.monotonicMs(),
+      expiresInMs: expiresAtMs - this.#context.clock.monotonicMs(),
+    };
+  }
+
+  #decideNextStep(inputs: Omit<StepInputs, 'takeRetry'>): NextStep {
+    const {retryBudgets, log} = this.#context;
+    const {service} = this.#request;
+    return decideNextStep({
+      ...inputs,
       takeRetry: () => {
         const isTaken = !this.#isCancelled && retryBudgets.take(service);
-        if (!isTaken) {
+        if (!isTaken && !this.#isCancelled) {
           log.retryBudgetExhausted(service);
         }
         return isTaken;
@@ -210,6 +162,16 @@
     });
   }
 
+  #retryDenialAfter(
+    step: NextStep,
+    inputs: Omit<StepInputs, 'takeRetry'>,
+  ): string | undefined {
+    if (this.#isCancelled) {
+      return 'cancelled';
+    }
+    return step === 'sendAgain' ? undefined : retryDenialOf(inputs);
+  }
+
   #takeStep(step: NextStep, result: AttemptResult): void {
     if (step === 'sendAgain' && !this.#isCancelled) {
       this.#startAttempt();
@@ -238,13 +200,16 @@
 
   /** Log fields that identify an attempt. */
   #describe(attempt: Attempt): LogFields {
+    const {clock, state} = this.#context;
     return {
       id: this.#request.id,
       worker: attempt.worker.id,
+      vmAddress: vmAddressOf(attempt.worker),
       dataCentre: attempt.worker.dataCentre,
+      durationMs: Math.round(clock.monotonicMs() - attempt.startMs),
       sends: this.#sentAttempts,
       offers: this.#unsentAttempts,
-      version: this.#context.state.config?.version,
+      version: state.config?.version,
     };
   }
 
@@ -282,20 +247,14 @@
     this.#triedWorkerIds.add(worker.id);
     this.#sentAttempts++;
     workerLoads.recordAttemptStart(worker.id);
-    const hop: HopRequest = {
-      worker: worker.id,
-      isIdempotent: request.route.isIdempotent,
-      rank: request.route.rank,
-      isLastCallerAttempt: request.isLastCallerAttempt,
-      dueInMs: request.dueAtMs - nowMs,
-      expiresInMs: request.expiresAtMs - nowMs,
-    };
-    const attempt: Attempt = {worker, cancel: () => {}, isHedged: false};
+    const attempt = new Attempt({
+      context: this.#context,
+      request,
+      worker,
+      onSilent: (silentMs, isFirst) => this.#hedge(attempt, silentMs, isFirst),
+    });
     this.#attempts.add(attempt);
-    const isLocalWorker = worker.address === this.#context.workerAddress;
-    const result = await (isLocalWorker
-      ? this.#sendToLocalWorker(attempt, hop, nowMs)
-      : this.#sendToPeer(attempt, hop));
+    const result = await attempt.send();
     this.#attempts.delete(attempt);
     workerLoads.recordAttemptEnd(worker.id);
     if (FULL_REASONS.has(result.reason)) {
@@ -327,118 +286,24 @@
     }
   }
 
-  async #sendToLocalWorker(
-    attempt: Attempt,
-    hop: HopRequest,
-    nowMs: number,
-  ): Promise<AttemptResult> {
-    const request = this.#request;
-    const ticket = this.#context.workerGate.submit({
-      worker: hop.worker,
-      isIdempotent: hop.isIdempotent,
-      scheduling: toQueuedRequest(hop, nowMs),
-      method: request.method,
-      url: request.url,
-      headers: [...request.headers, wireHeaders.expectedWorker, hop.worker],
-      body: request.body,
-      requestId: request.id,
-    });
-    attempt.cancel = () => ticket.cancel();
-    const result = await ticket.result;
-    this.#context.workerLoads.recordReport(
-      hop.worker,
-      this.#context.workerGate.load,
-    );
-    return toAttemptResult(result);
-  }
-
-  async #sendToPeer(attempt: Attempt, hop: HopRequest): Promise<AttemptResult> {
-    const {workerLoads, peerHealth, peerPools} = this.#context;
-    const request = this.#request;
-    const vmAddress = vmAddressOf(attempt.worker);
-    const exchange = peerPools.poolFor(vmAddress).exchange({
-      method: request.method,
-      url: request.url,
-      headers: [...request.headers, hopHeaders.request, encodeHopRequest(hop)],
-      body: request.body,
-      requestId: request.id,
-      silenceWatch: {
-        intervalMs: SILENCE_INTERVAL_MS,
-        onSilent: silentMs =>
-          silentMs < SILENT_HOP_MS
-            ? 'wait'
-            : this.#handleSilence(attempt, silentMs),
-      },
-    });
-    attempt.cancel = () => exchange.cancel();
-    const result = await exchange.result;
-    if (result.kind !== 'response') {
-      if (result.reason !== 'cancelled') {
-        peerHealth.markDown(vmAddress);
-      }
-      return failureToAttemptResult(result);
-    }
-    const hopResponse = decodeHopResponse(
-      headerValue(result.headers, hopHeaders.response),
-    );
-    if (!hopResponse) {
-      return {outcome: 'unknown', reason: 'noVerdict', waitMs: 0};
-    }
-    workerLoads.recordReport(attempt.worker.id, hopResponse.load);
-    return toAttemptResult({...hopResponse, response: result});
-  }
-
-  /**
-   * Handles a hop without any byte for some time. Silence alone does not end the
-   * attempt: the request may be running on the worker behind a relay that is
-   * short of processor time. A retry may be made beside it.
-   */
-  #handleSilence(attempt: Attempt, silentMs: number): 'wait' | 'end' {
-    const {clock, peerHealth} = this.#context;
-    const vmAddress = vmAddressOf(attempt.worker);
-    if (attempt.silentSinceMs === undefined) {
-      attempt.silentSinceMs = clock.monotonicMs();
-      peerHealth.markDown(vmAddress);
-    }
-    if (
-      this.#request.route.isIdempotent &&
-      this.#isHopDead(vmAddress, attempt.silentSinceMs)
-    ) {
-      return 'end';
-    }
-    if (!attempt.isHedged) {
-      this.#hedge(attempt, silentMs);
-    }
-    return 'wait';
-  }
-
-  /**
-   * Whether no response can come any more: the VM cannot be reached, or its
-   * relay responds on new connections but not on that of the attempt.
-   */
-  #isHopDead(vmAddress: string, silentSinceMs: number): boolean {
-    const {clock, peerHealth} = this.#context;
-    const answeredMs = peerHealth.lastAnswerMs(vmAddress);
-    return (
-      peerHealth.isUnreachable(vmAddress) ||
-      (answeredMs >= silentSinceMs &&
-        clock.monotonicMs() - answeredMs >= DEAD_CONNECTION_MS)
-    );
-  }
-
   /** Starts another attempt beside a silent one, if a retry is allowed. */
-  #hedge(attempt: Attempt, silentMs: number): void {
-    const step = this.#decideNextStep({
+  #hedge(attempt: Attempt, silentMs: number, isFirst: boolean): void {
+    if (attempt.isHedged) {
+      return;
+    }
+    const inputs = this.#stepInputs({
       outcome: 'unknown',
       reason: 'silent',
       waitMs: 0,
     });
+    const step = this.#decideNextStep(inputs);
     attempt.isHedged = step === 'sendAgain';
-    if (attempt.isHedged || silentMs === SILENT_HOP_MS) {
+    if (attempt.isHedged || isFirst) {
       this.#context.log.hopSilent({
         ...this.#describe(attempt),
         silentMs,
         outcome: attempt.isHedged ? 'hedged' : 'waiting',
+        retryDenied: this.#retryDenialAfter(step, inputs),
       });
     }
     if (attempt.isHedged) {
@@ -446,20 +311,3 @@
     }
   }
 }
-
-function failureToAttemptResult(failure: ExchangeFailure): AttemptResult {
-  return {outcome: failure.kind, reason: failure.reason, waitMs: 0};
-}
-
-const FULL_REASONS = new Set(['wouldBeLate', 'wouldExpire']);
-const STALE_ADDRESS_REASONS = new Set(['421', 'workerGone']); // 421: another worker uses the address
-
-function toAttemptResult(result: GateResult): AttemptResult {
-  const {verdict, reason, response} = result;
-  const waitMs = result.retryAfterMs;
-  if (verdict === 'answered') {
-    const outcome = response!.status >= 500 ? 'failed' : 'answered';
-    return {outcome, reason, waitMs, response};
-  }
-  return {outcome: verdict, reason, waitMs};
-}
