feat(cli): explain a silent hop with the delays of both relays

On-call engineers found a 502 after a silent hop, but no way on to its cause.

Change: `explain-request` shows `event_loop_delayed` of the relays involved. The line is written when a delay ends, often after the request has ended, so its start decides.

--- a/cli/carobseam/src/explain_request.ts
+++ b/cli/carobseam/src/explain_request.ts
@@ -16,7 +16,10 @@
 export interface RequestExplanation {
   /** Lines of the request and of the calls that its worker made, by time. */
   lines: LogLine[];
-  /** What the relays involved came to believe shortly before its end. */
+  /**
+   * What the relays involved came to believe shortly before its end, and delays
+   * of their event loops that began by then.
+   */
   beliefs: LogLine[];
   /** How the request ended, in one sentence. */
   cause: string;
@@ -28,6 +31,7 @@
 
 const BELIEF_EVENTS = new Set([
   'config_in_force',
+  'event_loop_delayed',
   'reader_lost',
   'readers_silent',
   'removal_held',
@@ -121,7 +125,7 @@
     beliefs: sorted.filter(
       line =>
         BELIEF_EVENTS.has(line.event) &&
-        line.atMs <= lastMs &&
+        startMsOf(line) <= lastMs &&
         near(line, BELIEF_WINDOW_MS),
     ),
     cause: causeOf(end),
@@ -132,6 +136,11 @@
   };
 }
 
+/** When the state that a line reports began; a delay is reported at its end. */
+function startMsOf({atMs, fields}: LogLine): number {
+  return atMs - Number(fields['delayMs'] ?? 0);
+}
+
 function causeOf(end: LogLine | undefined): string {
   if (!end) {
     return 'No line says how it ended: the relay was killed, or left the line out.';
--- a/cli/carobseam/test/explain_request.test.ts
+++ b/cli/carobseam/test/explain_request.test.ts
@@ -18,9 +18,20 @@
 time=2026-12-04T11:18:09.600Z level=info event=vm_lost vm=vm-4 vmAddress=10.0.0.9
 `;
 
-function writeLogs(): string[] {
+const SILENT_ENTRY = `
+time=2026-12-04T11:20:09.000Z level=info event=request_placed vm=vm-1 id=b1 route=read worker=i-4 reason=fastest expectedMs=40 leftMs=1490 version=31
+time=2026-12-04T11:20:09.640Z level=warn event=attempt_failed vm=vm-1 attempt=unknown id=b1 worker=i-4 vmAddress=10.0.0.4 dataCentre=wien reason=silent durationMs=640 silentMs=601 interims=0 bytes=0 sends=1 offers=0 version=31 outcome=reportUnknown retryDenied=attempts
+time=2026-12-04T11:20:09.641Z level=warn event=request_ended vm=vm-1 id=b1 route=read reason=silent durationMs=641 outcome=unknown
+`;
+const SILENT_WORKER = `
+time=2026-12-04T11:20:09.720Z level=warn event=event_loop_delayed vm=vm-4 delayMs=610
+time=2026-12-04T11:20:09.721Z level=warn event=gate_decision vm=vm-4 reason=senderLeft id=b1 outcome=unknown waitedMs=0 ranMs=690 leftAfterMs=690 interims=1 result=cancelled running=3 queued=0 serviceMs=40
+time=2026-12-04T11:20:10.500Z level=warn event=event_loop_delayed vm=vm-4 delayMs=210
+`;
+
+function writeLogs(texts = [ENTRY, WORKER]): string[] {
   const dir = mkdtempSync(path.join(tmpdir(), 'carobseam-logs-'));
-  return [ENTRY, WORKER].map((text, index) => {
+  return texts.map((text, index) => {
     const file = path.join(dir, `relay-${index}.log`);
     writeFileSync(file, text);
     return file;
@@ -46,6 +57,19 @@
     expect(text).to.include('left out lines');
   });
 
+  it('guards against leaving out a delay of the event loop that made a hop silent', async () => {
+    const {text} = await captureCli(
+      'explain-request',
+      'b1',
+      ...writeLogs([SILENT_ENTRY, SILENT_WORKER]),
+    );
+    expect(text.split('\n')[0]).to.include('sent nothing for 600 ms');
+    expect(text).to.include('retryDenied=attempts');
+    expect(text).to.include('reason=senderLeft');
+    expect(text).to.include('delayMs=610');
+    expect(text, 'began after its end').to.not.include('delayMs=210');
+  });
+
   it('says why a request was refused', async () => {
     const {text} = await captureCli('explain-request', 'a10', ...writeLogs());
     expect(text).to.include('the queue was too long');
