fix(relay): free the worker's slot when a request has expired

Seen: a worker that sends nothing, or a head, interim responses or a small body one byte at a time, keeps a slot of the gate and a connection for ever when the request is not idempotent, and also when the relay that sent the request has vanished. A large body that the receiver does not read does the same. With all slots gone the gate refuses everything.

Cause: the gate relies on its caller to cancel, and a request that is not idempotent is not cancelled, so that it can complete. After its deadline the worker has stopped and nobody waits for the response.

Evidence: before, load.running stays 1 in the ten new tests; after, it is 0 and the connection is closed. A request within its time is untouched.

The gate keeps a set of the requests that run and ends the exchanges and streams that are 500 ms over their time, in the housekeeping once a second. No request gets a further timer.

--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -20,6 +20,7 @@
 
 const INITIAL_SLOTS = 8; // of the smallest worker in the users' specification; used until the worker's entry is read
 const EXPIRY_MARGIN_MS = 100; // so that a refusal reaches the caller before its deadline
+const EXCHANGE_GRACE_MS = 500; // the worker's own error response at the deadline may still arrive
 const DRAIN_DELAY_SHARE = 0.2; // of drainMs; the rest covers the delay of the source of worker entries and relays that read it but are unresponsive
 
 /** A request for the local worker. */
@@ -77,6 +78,8 @@
   request: GateRequest;
   resolve: (result: GateResult) => void;
   exchange?: Exchange;
+  /** Body that is still being delivered. */
+  stream?: Readable;
   expiryTimer?: Timer;
 }
 
@@ -89,6 +92,7 @@
   readonly #options: WorkerGateOptions;
   readonly #pool: ConnectionPool;
   readonly #queue: WorkerQueue<PendingRequest>;
+  readonly #running = new Set<PendingRequest>();
   #worker?: MeshWorker;
   #drainTimer?: Timer;
 
@@ -151,8 +155,19 @@
     return {result, cancel: () => this.#cancel(pending)};
   }
 
+  /**
+   * Closes idle connections and requests that have expired; must be called once
+   * a second.
+   */
   closeExpired(): void {
     this.#pool.closeExpired();
+    const expiredMs = this.#options.clock.monotonicMs() - EXCHANGE_GRACE_MS;
+    for (const pending of this.#running) {
+      if (pending.expiresAtMs < expiredMs) {
+        pending.exchange?.cancel();
+        pending.stream?.destroy(new Error('the request has expired'));
+      }
+    }
   }
 
   close(): void {
@@ -195,6 +210,7 @@
 
   #start(pending: PendingRequest): void {
     pending.expiryTimer?.cancel();
+    this.#running.add(pending);
     const {request} = pending;
     const startMs = this.#options.clock.monotonicMs();
     const deadlineMs = Math.max(1, Math.floor(pending.expiresAtMs - startMs));
@@ -212,7 +228,7 @@
     void pending.exchange.result.then(result => {
       const durationMs = this.#options.clock.monotonicMs() - startMs;
       this.#recordResult(result, priorityClassOf(pending), durationMs);
-      this.#releaseSlot(result);
+      this.#releaseSlotAfter(pending, result);
       this.#resolve(pending, toGateResult(result));
     });
   }
@@ -230,15 +246,20 @@
   }
 
   /** Frees the slot, after a streamed response only once its body has ended. */
-  #releaseSlot(result: ExchangeResult): void {
+  #releaseSlotAfter(pending: PendingRequest, result: ExchangeResult): void {
+    const release = () => {
+      this.#running.delete(pending);
+      this.#queue.release();
+    };
     if (
       result.kind === 'response' &&
       result.body instanceof Readable &&
       !result.body.closed
     ) {
-      result.body.once('close', () => this.#queue.release());
+      pending.stream = result.body;
+      result.body.once('close', release);
     } else {
-      this.#queue.release();
+      release();
     }
   }
 
--- a/calls/relay/test/worker_gate.test.ts
+++ b/calls/relay/test/worker_gate.test.ts
@@ -89,6 +89,12 @@
   write();
 }
 
+/** Sends a text every 5 ms until the connection is closed. */
+function repeat(socket: net.Socket, text: string): void {
+  const timer = setInterval(() => socket.write(text), 5);
+  socket.once('close', () => clearInterval(timer));
+}
+
 function pause(ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms));
 }
@@ -142,4 +148,52 @@
       );
     });
   }
+
+  const endless: Array<[string, (socket: net.Socket) => void]> = [
+    ['sends nothing', () => {}],
+    [
+      'sends interim responses without end',
+      socket => repeat(socket, 'HTTP/1.1 102 Processing\r\n\r\n'),
+    ],
+    [
+      'sends a head that trickles',
+      socket => {
+        socket.write('HTTP/1.1 200 OK\r\nA: ');
+        repeat(socket, 'x');
+      },
+    ],
+    [
+      'sends a small body that trickles',
+      socket => {
+        socket.write(`HTTP/1.1 200 OK\r\n${SEAL}Connection: close\r\n\r\n`);
+        repeat(socket, 'x');
+      },
+    ],
+    [
+      'sends a large body that nobody reads',
+      socket =>
+        flood(
+          socket,
+          `HTTP/1.1 200 OK\r\n${SEAL}Content-Length: 9000000\r\n\r\n`,
+        ),
+    ],
+  ];
+  for (const [name, handle] of endless) {
+    for (const isIdempotent of [true, false]) {
+      it(`guards against losing a slot to a worker that ${name}, ${isIdempotent ? 'idempotent' : 'not idempotent'}`, async () => {
+        await withGate(handle, async ({gate, submit, openSockets}) => {
+          void submit({isIdempotent, expiresInMs: 200});
+          await pause(100);
+          gate.closeExpired();
+          await pause(20);
+          expect(gate.load.running).to.equal(1);
+          await pause(700);
+          gate.closeExpired();
+          await pause(20);
+          expect(gate.load.running).to.equal(0);
+          expect(openSockets.size).to.equal(0);
+        });
+      });
+    }
+  }
 });
