test(relay): play bytes without end through one relay and two

Heads, interim responses, chunk sizes and bytes that are not HTTP get a 502 before half of the deadline; heads, interim responses and small bodies that trickle get a 504 at the deadline. The connection to the worker is closed in all cases.

--- a/daemon/relay/test/endless_response.test.ts
+++ b/daemon/relay/test/endless_response.test.ts
@@ -17,6 +17,8 @@
 const DEADLINE_MS = 700;
 const LATE_MS = 300; // processor time may be short
 
+const SLOT_FREE_MS = 2000; // grace of the gate and two rounds of housekeeping
+
 type RequestHandler = (request: ReceivedRequest) => void;
 
 interface Mesh {
@@ -94,6 +96,24 @@
   response.once('close', () => clearInterval(timer));
 }
 
+/** Returns a handler that sends bytes in place of a response, without end. */
+function sendRaw(
+  prefix: string,
+  part: string,
+  intervalMs: number,
+): RequestHandler {
+  return ({response}) => {
+    const socket = response.socket!;
+    socket.write(prefix);
+    const timer = setInterval(() => {
+      if (!socket.writableNeedDrain) {
+        socket.write(part);
+      }
+    }, intervalMs);
+    socket.once('close', () => clearInterval(timer));
+  };
+}
+
 /** Sends a request and returns how its response ended. */
 async function describeCall(
   port: number,
@@ -145,6 +165,62 @@
       }
     }
 
+    const heads: Array<[string, RequestHandler]> = [
+      ['a status line', sendRaw('HTTP/1.1 200 ', 'x'.repeat(65_536), 2)],
+      [
+        'header lines',
+        sendRaw('HTTP/1.1 200 OK\r\n', 'A: b\r\n'.repeat(9999), 2),
+      ],
+      [
+        'interim responses',
+        sendRaw('', 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(2000), 2),
+      ],
+      [
+        'a chunk size',
+        sendRaw(
+          `HTTP/1.1 200 OK\r\n${wireHeaders.workerSignature}: s\r\nTransfer-Encoding: chunked\r\n\r\n`,
+          '0'.repeat(65_536),
+          2,
+        ),
+      ],
+      ['bytes that are not HTTP', sendRaw('%', '', 100)],
+    ];
+    for (const [name, handle] of heads) {
+      it(`guards against waiting for the end of ${name}`, async () => {
+        await withMesh(relayCount, handle, async ({port, openSockets}) => {
+          const {text, durationMs} = await describeCall(port, '/buy/1');
+          expect(text).to.equal('502 0 bytes');
+          expect(durationMs).to.be.below(DEADLINE_MS / 2);
+          await pause(50);
+          expect(openSockets()).to.equal(0);
+        });
+      });
+    }
+
+    const trickles: Array<[string, RequestHandler]> = [
+      ['a head', sendRaw('HTTP/1.1 200 OK\r\nA: ', 'x', 10)],
+      ['interim responses', sendRaw('', 'HTTP/1.1 102 Processing\r\n\r\n', 10)],
+      [
+        'a small body',
+        sendRaw(
+          `HTTP/1.1 200 OK\r\n${wireHeaders.workerSignature}: s\r\nContent-Length: 90000\r\n\r\n`,
+          'x',
+          10,
+        ),
+      ],
+    ];
+    for (const [name, handle] of trickles) {
+      it(`responds 504 at the deadline to ${name} that trickles`, async () => {
+        await withMesh(relayCount, handle, async ({port, openSockets}) => {
+          const {text, durationMs} = await describeCall(port, '/buy/1');
+          expect(text).to.equal('504 0 bytes');
+          expect(durationMs).to.be.below(DEADLINE_MS + LATE_MS);
+          await pause(SLOT_FREE_MS);
+          expect(openSockets()).to.equal(0);
+        });
+      });
+    }
+
     it('passes a body of several MB whole', async () => {
       const bytes = 5 * 1024 * 1024;
       const sendLarge: RequestHandler = request => {
