fix(relay): read received data before a response is given up

Callers saw a 504, or a closed connection, although the worker's response or their own request had already arrived at the relay.

After a delay of the event loop, Node.js runs due timers before it reads the sockets. The timer of a request's timeout and the loop of `drain` decided at once, so a response that had arrived during the delay was replaced by an own 504, and a relay took itself for idle while a request lay unread in a socket.

Both now wait for one turn of the event loop, in which the received data is read, and then decide.

Evidence: the three tests of drain.test.ts, on a relay whose clock passes while the event loop is blocked. Before: 504 in place of 200 twice, and a reset without a response. After: 200 each time.

--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -122,6 +122,9 @@
     const {clock} = this.#context;
     const {route, arrivedMs} = times;
     const abort = (outcome: string) => {
+      if (response.headersSent || response.destroyed) {
+        return;
+      }
       const status = dispatcher.mayHaveRun ? 504 : 503;
       this.#recordEnd(request, arrivedMs, outcome, {route: route.name, status});
       this.#refuse(response, status, []);
@@ -131,7 +134,8 @@
     this.#abortCallbacks.add(abortOnShutdown);
     const timeoutTimer = clock.setTimer(
       times.expiresAtMs - clock.monotonicMs() - DEADLINE_MARGIN_MS,
-      () => abort('timeout'),
+      // After a delay of the event loop, timers run before received data is read.
+      () => setImmediate(abort, 'timeout'),
     );
     response.once('close', () => {
       this.#abortCallbacks.delete(abortOnShutdown);
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -29,6 +29,7 @@
 } from '@carobseam/fleet.follower';
 import type {RelaySettings} from '@carobseam/platform.adapter';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {setImmediate} from 'node:timers/promises';
 import type {RateLimitedLog} from './rate_limited_log.js';
 import {hasHighBandwidthLink} from './has_high_bandwidth_link.js';
 import {listen} from './listen.js';
@@ -236,6 +237,8 @@
     const maxDrainMs = settings.graceS * 1000 - EXIT_RESERVE_MS;
     this.#shutdownDeadlineMs = startMs + maxDrainMs - LAST_RESPONSES_RESERVE_MS;
     for (;;) {
+      // After a delay of the event loop, timers run before received data is read.
+      await setImmediate();
       const elapsedMs = clock.monotonicMs() - startMs;
       this.#isRefusingNewRequests = elapsedMs >= REFUSE_NEW_REQUESTS_AFTER_MS;
       const isIdle =
--- /dev/null
+++ b/daemon/relay/test/drain.test.ts
@@ -0,0 +1,127 @@
+import {ManualClock} from '@carobseam/core.clock';
+import {wireHeaders} from '@carobseam/platform.adapter';
+import {expect} from 'chai';
+import net from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  allocatePorts,
+  call,
+  createSnapshot,
+  createWorkerEntry,
+  FakeSource,
+  respond,
+  startRelay,
+  startWorker,
+  type FakeWorker,
+  type RunningRelay,
+} from './relay_fixtures.js';
+
+const HOST = '127.0.0.1';
+const MIN_DRAIN_MS = 2600;
+const GRACE_MS = 4000; // of the relay under test
+
+/** A relay whose worker does not respond by itself. */
+interface DrainFixture {
+  relay: RunningRelay['relay'];
+  clock: ManualClock;
+  worker: FakeWorker;
+  port: number;
+  call: (path: string) => ReturnType<typeof call>;
+  /**
+   * Lets time pass while the event loop is blocked: due timers run before data
+   * that was sent meanwhile is read.
+   */
+  stall: (durationMs: number, whileBlocked?: () => void) => Promise<void>;
+}
+
+async function withDrain(
+  run: (fixture: DrainFixture) => Promise<void>,
+): Promise<void> {
+  const clock = new ManualClock();
+  const worker = await startWorker(HOST, () => {});
+  const ports = allocatePorts();
+  const source = new FakeSource(
+    createSnapshot([createWorkerEntry(worker, 'i-0')]),
+  );
+  const {relay, close} = await startRelay(worker, ports, source, clock);
+  const stall: DrainFixture['stall'] = (durationMs, whileBlocked = () => {}) =>
+    new Promise(resolve => {
+      setTimeout(() => {
+        whileBlocked();
+        clock.jump(durationMs);
+        clock.advance(0);
+        resolve();
+      });
+    });
+  const port = ports[0]!;
+  const callRelay: DrainFixture['call'] = path =>
+    call({host: HOST, port, path, deadlineMs: 60_000});
+  try {
+    await run({relay, clock, worker, port, call: callRelay, stall});
+  } finally {
+    close();
+    await worker.close();
+  }
+}
+
+async function untilRequestRuns(worker: FakeWorker): Promise<void> {
+  for (let turn = 0; turn < 100 && worker.requests.length === 0; turn++) {
+    await sleep(5);
+  }
+}
+
+async function connect(port: number): Promise<net.Socket> {
+  const socket = net.connect({host: HOST, port});
+  await new Promise(resolve => socket.once('connect', resolve));
+  socket.on('error', () => {}); // a reset shows in the missing response
+  await sleep(20);
+  return socket;
+}
+
+const REQUEST = [
+  'GET /read/1 HTTP/1.1',
+  'Host: hints.example',
+  `${wireHeaders.requestId}: id-1`,
+  `${wireHeaders.deadlineMs}: 60000`,
+  '\r\n',
+].join('\r\n');
+
+describe('draining relay', () => {
+  it("guards against a 504 in place of a response that came before the route's timeout", async () => {
+    await withDrain(async ({worker, call: callRelay, stall}) => {
+      const result = callRelay('/buy/1');
+      await untilRequestRuns(worker);
+      await stall(1500, () => respond(worker.requests[0]!));
+      expect((await result).status).to.equal(200);
+    });
+  });
+
+  it('guards against a 504 in place of a response that came before the exit', async () => {
+    await withDrain(async ({relay, worker, call: callRelay, stall}) => {
+      const drained = relay.drain().then(() => relay.close());
+      await stall(2300);
+      const result = callRelay('/buy/1');
+      await untilRequestRuns(worker);
+      await stall(GRACE_MS - 2300, () => respond(worker.requests[0]!));
+      expect((await result).status).to.equal(200);
+      await drained;
+    });
+  });
+
+  it('guards against closing a connection whose request was not read in time', async () => {
+    await withDrain(async ({relay, worker, port, stall}) => {
+      const socket = await connect(port);
+      const chunks: Buffer[] = [];
+      socket.on('data', chunk => chunks.push(chunk));
+      const closed = new Promise(resolve => socket.once('close', resolve));
+      const drained = relay.drain().then(() => relay.close());
+      await stall(MIN_DRAIN_MS, () => socket.write(REQUEST));
+      await Promise.race([untilRequestRuns(worker), closed]);
+      worker.requests.forEach(respond);
+      await stall(100);
+      await closed;
+      expect(Buffer.concat(chunks).toString()).to.match(/^HTTP\/1.1 200 /);
+      await drained;
+    });
+  });
+});
--- a/daemon/relay/test/relay_fixtures.ts
+++ b/daemon/relay/test/relay_fixtures.ts
@@ -11,6 +11,7 @@
 import {Metrics} from '@carobseam/core.metrics';
 import {splitAddress} from '@carobseam/core.net';
 import type {
+  Clock,
   ConfigVersion,
   DataCentreName,
   ServiceName,
@@ -188,9 +189,9 @@
   worker: FakeWorker,
   ports: readonly number[],
   source: MeshSource,
+  clock: Clock = new SystemClock(),
 ): Promise<RunningRelay> {
   const {host: vmAddress} = splitAddress(worker.address);
-  const clock = new SystemClock();
   const log = new RateLimitedLog({
     clock,
     base: {},
