fix(relay): refuse new requests by the clock while draining

A relay short of processor time took requests later than 3 s after SIGTERM and broke them off at the end of the grace time.

Whether a draining relay refuses new requests was a flag that the timer of `drain` set. When that timer was late, requests that were read before it were still taken.

The relay now compares the clock at the moment of the decision.

Evidence: "guards against taking a request late because a timer is late". After: 503 with Retry-After, not run.

--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -89,14 +89,16 @@
   #outboundServer?: Server;
   #housekeepingTimer?: Timer;
   #isDraining = false;
-  #isRefusingNewRequests = false;
+  #refusesRequestsFromMs = Infinity;
   #shutdownDeadlineMs = Infinity;
 
   constructor(options: RelayOptions) {
     const {settings, clock, random, log, metrics} = options;
     const recorder = new RequestRecorder(log, metrics);
     const isDraining = () => this.#isDraining;
-    const isRefusingNewRequests = () => this.#isRefusingNewRequests;
+    // Read from the clock, because a timer may be late.
+    const isRefusingNewRequests = () =>
+      clock.monotonicMs() >= this.#refusesRequestsFromMs;
     const shutdownDeadlineMs = () => this.#shutdownDeadlineMs;
     this.#options = options;
     this.#state = new MeshState({
@@ -234,13 +236,13 @@
     const {clock, settings} = this.#options;
     this.#isDraining = true;
     const startMs = clock.monotonicMs();
+    this.#refusesRequestsFromMs = startMs + REFUSE_NEW_REQUESTS_AFTER_MS;
     const maxDrainMs = settings.graceS * 1000 - EXIT_RESERVE_MS;
     this.#shutdownDeadlineMs = startMs + maxDrainMs - LAST_RESPONSES_RESERVE_MS;
     for (;;) {
       // After a delay of the event loop, timers run before received data is read.
       await setImmediate();
       const elapsedMs = clock.monotonicMs() - startMs;
-      this.#isRefusingNewRequests = elapsedMs >= REFUSE_NEW_REQUESTS_AFTER_MS;
       const isIdle =
         this.#outbound.activeCount === 0 && this.#inbound.activeCount === 0;
       if (elapsedMs >= MIN_DRAIN_MS && isIdle) {
--- a/daemon/relay/test/drain.test.ts
+++ b/daemon/relay/test/drain.test.ts
@@ -18,6 +18,7 @@
 
 const HOST = '127.0.0.1';
 const MIN_DRAIN_MS = 2600;
+const REFUSE_AFTER_MS = 3000;
 const GRACE_MS = 4000; // of the relay under test
 
 /** A relay whose worker does not respond by itself. */
@@ -70,12 +71,17 @@
   }
 }
 
-async function connect(port: number): Promise<net.Socket> {
+/** Opens a connection of a caller and collects what it receives. */
+async function connect(port: number) {
   const socket = net.connect({host: HOST, port});
-  await new Promise(resolve => socket.once('connect', resolve));
+  const chunks: Buffer[] = [];
+  socket.on('data', chunk => chunks.push(chunk));
   socket.on('error', () => {}); // a reset shows in the missing response
+  const closed = new Promise(resolve => socket.once('close', resolve));
+  await new Promise(resolve => socket.once('connect', resolve));
   await sleep(20);
-  return socket;
+  const received = () => Buffer.concat(chunks).toString();
+  return {socket, closed, received};
 }
 
 const REQUEST = [
@@ -110,18 +116,29 @@
 
   it('guards against closing a connection whose request was not read in time', async () => {
     await withDrain(async ({relay, worker, port, stall}) => {
-      const socket = await connect(port);
-      const chunks: Buffer[] = [];
-      socket.on('data', chunk => chunks.push(chunk));
-      const closed = new Promise(resolve => socket.once('close', resolve));
+      const {socket, closed, received} = await connect(port);
       const drained = relay.drain().then(() => relay.close());
       await stall(MIN_DRAIN_MS, () => socket.write(REQUEST));
       await Promise.race([untilRequestRuns(worker), closed]);
       worker.requests.forEach(respond);
       await stall(100);
       await closed;
-      expect(Buffer.concat(chunks).toString()).to.match(/^HTTP\/1.1 200 /);
+      expect(received()).to.match(/^HTTP\/1.1 200 /);
       await drained;
     });
   });
+
+  it('guards against taking a request late because a timer is late', async () => {
+    await withDrain(async ({relay, clock, worker, call: callRelay}) => {
+      void relay.drain();
+      await sleep(20);
+      clock.jump(REFUSE_AFTER_MS);
+      const result = callRelay('/buy/1');
+      await Promise.race([result, untilRequestRuns(worker)]);
+      expect(worker.requests).to.have.length(0);
+      const {status, headers} = await result;
+      expect(status).to.equal(503);
+      expect(Number(headers['retry-after'])).to.be.above(0);
+    });
+  });
 });
