fix(relay): refuse a request whose body ends while the relay leaves

A draining relay took a request whose headers came in time but whose body ended later than 3 s after SIGTERM. It was broken off when the relay exited, while its worker was at work.

The outbound side only checked before it read the body; the inbound side already checks afterwards. The outbound side now checks again before the request is sent to a worker, so the 503 is true.

Evidence: "guards against taking a request whose body is read late".

--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -84,13 +84,23 @@
       this.#refuseWithoutRoute(request, response, arrivedMs);
       return;
     }
-    if (this.#context.isRefusingNewRequests()) {
+    const refuseIfLeaving = () => {
+      if (!this.#context.isRefusingNewRequests()) {
+        return false;
+      }
       request.resume();
       this.#recordEnd(request, arrivedMs, 'relayLeaves', {route: route.name});
       this.#refuse(response, 503, retryAfterHeader(DRAINING_RETRY_MS));
+      return true;
+    };
+    if (refuseIfLeaving()) {
       return;
     }
     const body = await readBody(request, state.config!.limits.maxBodyBytes);
+    // The rest of the body may have arrived long after the headers.
+    if (refuseIfLeaving()) {
+      return;
+    }
     const times = this.#computeTimes(request, route, arrivedMs);
     const dispatcher = new RequestDispatcher(this.#context, {
       ...times,
--- a/daemon/relay/test/drain.test.ts
+++ b/daemon/relay/test/drain.test.ts
@@ -141,4 +141,19 @@
       expect(Number(headers['retry-after'])).to.be.above(0);
     });
   });
+
+  it('guards against taking a request whose body is read late', async () => {
+    await withDrain(async ({relay, clock, worker, port}) => {
+      const {socket, closed, received} = await connect(port);
+      socket.write(REQUEST.replace(/\r\n$/, 'Content-Length: 2\r\n\r\na'));
+      await sleep(20);
+      void relay.drain();
+      await sleep(20);
+      clock.jump(REFUSE_AFTER_MS);
+      socket.write('b');
+      await Promise.race([closed, untilRequestRuns(worker)]);
+      expect(worker.requests).to.have.length(0);
+      expect(received()).to.match(/^HTTP\/1.1 503 /);
+    });
+  });
 });
