fix(relay): allow for a SIGTERM that is handled late

A relay whose event loop was delayed when SIGTERM came took requests that were sent later than 3 s after the signal and broke them off at its exit, or was killed while requests that it had taken earlier had no response.

All bounds count from the moment at which the signal is handled. The reserve before the kill was 400 ms, and there was none for the time until which new requests are taken.

New requests are now refused 2.5 s after the signal is handled, and requests in flight end at the begin of the last sixth of the grace time, before which they must not be broken off. The times move to a class of their own, ShutdownSchedule.

--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -34,6 +34,7 @@
 import {hasHighBandwidthLink} from './has_high_bandwidth_link.js';
 import {listen} from './listen.js';
 import {RequestRecorder} from './request_recorder.js';
+import {ShutdownSchedule} from './shutdown_schedule.js';
 
 const MIN_DATA_CENTRE_PEERS = 6; // if the store refuses a third of them, one of two polled peers has newer state 9 times in 10
 const REMOVAL_GRACE_MS = 2200; // after an outage of the store, running workers are registered again within about 2 s
@@ -43,10 +44,6 @@
 const DEFAULT_KEEP_ALIVE_TIMEOUT_MS = 60_000; // used until a configuration is active
 const KEEP_ALIVE_TIMEOUT_FACTOR = 1.25; // callers reuse a connection until 4/5 of the configured limit
 const INBOUND_KEEP_ALIVE_TIMEOUT_MS = 20_000; // longer than peers keep idle connections in their pools
-const MIN_DRAIN_MS = 2600; // two failed readiness checks at an interval of 1 s
-const REFUSE_NEW_REQUESTS_AFTER_MS = 3000; // three readiness checks have failed, so callers should use other relays
-const EXIT_RESERVE_MS = 400; // time before SIGKILL for closing the relay
-const LAST_RESPONSES_RESERVE_MS = 150; // time for the last responses to pass through two relays
 const DRAIN_CHECK_INTERVAL_MS = 20; // the longest delay until an idle relay exits
 const HOUSEKEEPING_INTERVAL_MS = 1000; // the longest time for which an expired idle connection stays open
 
@@ -85,22 +82,19 @@
   readonly #sourceFollower: SourceFollower;
   readonly #outbound: OutboundHandler;
   readonly #inbound: InboundHandler;
+  readonly #shutdown: ShutdownSchedule;
   readonly #servers: Server[] = [];
   #outboundServer?: Server;
   #housekeepingTimer?: Timer;
-  #isDraining = false;
-  #refusesRequestsFromMs = Infinity;
-  #shutdownDeadlineMs = Infinity;
 
   constructor(options: RelayOptions) {
     const {settings, clock, random, log, metrics} = options;
     const recorder = new RequestRecorder(log, metrics);
-    const isDraining = () => this.#isDraining;
-    // Read from the clock, because a timer may be late.
-    const isRefusingNewRequests = () =>
-      clock.monotonicMs() >= this.#refusesRequestsFromMs;
-    const shutdownDeadlineMs = () => this.#shutdownDeadlineMs;
+    const isDraining = () => this.#shutdown.isDraining;
+    const isRefusingNewRequests = () => this.#shutdown.isRefusingNewRequests;
+    const shutdownDeadlineMs = () => this.#shutdown.deadlineMs;
     this.#options = options;
+    this.#shutdown = new ShutdownSchedule(clock, settings.graceS * 1000);
     this.#state = new MeshState({
       clock,
       removalGraceMs: REMOVAL_GRACE_MS,
@@ -228,27 +222,22 @@
   /**
    * Drains the relay for a graceful shutdown: it reports that it is not ready,
    * at first still serves new requests and later refuses them. Resolves when
-   * callers have had time to notice and no request is in flight, or shortly
-   * before the platform's grace period ends; callers whose requests are still in
+   * callers have had time to notice and no request is in flight, or in the last
+   * sixth of the platform's grace period; callers whose requests are still in
    * flight then get an error response.
    */
   async drain(): Promise<void> {
-    const {clock, settings} = this.#options;
-    this.#isDraining = true;
-    const startMs = clock.monotonicMs();
-    this.#refusesRequestsFromMs = startMs + REFUSE_NEW_REQUESTS_AFTER_MS;
-    const maxDrainMs = settings.graceS * 1000 - EXIT_RESERVE_MS;
-    this.#shutdownDeadlineMs = startMs + maxDrainMs - LAST_RESPONSES_RESERVE_MS;
+    const {clock} = this.#options;
+    this.#shutdown.start();
     for (;;) {
       // After a delay of the event loop, timers run before received data is read.
       await setImmediate();
-      const elapsedMs = clock.monotonicMs() - startMs;
       const isIdle =
         this.#outbound.activeCount === 0 && this.#inbound.activeCount === 0;
-      if (elapsedMs >= MIN_DRAIN_MS && isIdle) {
+      if (this.#shutdown.mayExit && isIdle) {
         return;
       }
-      if (elapsedMs >= maxDrainMs) {
+      if (this.#shutdown.mustExit) {
         this.#outbound.abortAll();
         return;
       }
@@ -370,7 +359,8 @@
   }
 
   #respondReadiness(_request: IncomingMessage, response: ServerResponse): void {
-    const isReady = !this.#isDraining && this.#state.config !== undefined;
+    const isReady =
+      !this.#shutdown.isDraining && this.#state.config !== undefined;
     response.sendDate = false;
     response.writeHead(isReady ? 200 : 503, ['Content-Length', '0']);
     response.end();
