fix(relay): refuse the queued requests of a relay that exits

A caller got a 502 for a request that no worker had run: it was queued at the relay of its worker when that relay exited after SIGTERM.

The exit closed the connection to the entry relay, for which a request without a response may have run. A request that came before the signal has the timeout of its route and can outlast the grace time in the queue.

`drain` now lets the gate refuse queued requests when the time of the requests in flight is over, before it ends the running ones. The entry relay learns that the request was not sent, and can send it elsewhere.

Evidence: "guards against closing the connection of a request that is queued for the worker", with two relays. After: 503, not run.

--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -149,6 +149,14 @@
     return {result, cancel: () => this.#cancel(pending)};
   }
 
+  /**
+   * Refuses all queued and new requests, because the relay is about to exit;
+   * running requests complete.
+   */
+  refuseQueued(): void {
+    this.#queue.drain();
+  }
+
   closeExpired(): void {
     this.#pool.closeExpired();
   }
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -232,6 +232,9 @@
     for (;;) {
       // After a delay of the event loop, timers run before received data is read.
       await setImmediate();
+      if (clock.monotonicMs() >= this.#shutdown.deadlineMs) {
+        this.#workerGate.refuseQueued();
+      }
       const isIdle =
         this.#outbound.activeCount === 0 && this.#inbound.activeCount === 0;
       if (this.#shutdown.mayExit && isIdle) {
--- a/daemon/relay/test/drain.test.ts
+++ b/daemon/relay/test/drain.test.ts
@@ -1,3 +1,4 @@
+import type {MeshSnapshot, MeshWorker} from '@carobseam/config.mesh';
 import {ManualClock} from '@carobseam/core.clock';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import {expect} from 'chai';
@@ -28,6 +29,8 @@
   relay: RunningRelay['relay'];
   clock: ManualClock;
   worker: FakeWorker;
+  entry: MeshWorker;
+  ports: number[];
   port: number;
   call: (path: string) => ReturnType<typeof call>;
   /**
@@ -43,11 +46,8 @@
   const clock = new ManualClock();
   const worker = await startWorker(HOST, () => {});
   const ports = allocatePorts();
-  const snapshot = createSnapshot([createWorkerEntry(worker, 'i-0')]);
-  snapshot.config!.routes.forEach(route => {
-    route.timeoutMs = ROUTE_TIMEOUT_MS;
-  });
-  const source = new FakeSource(snapshot);
+  const entry = createWorkerEntry(worker, 'i-0');
+  const source = new FakeSource(createLongSnapshot([entry]));
   const {relay, close} = await startRelay(worker, ports, source, clock);
   const stall: DrainFixture['stall'] = (durationMs, whileBlocked = () => {}) =>
     new Promise(resolve => {
@@ -62,15 +62,33 @@
   const callRelay: DrainFixture['call'] = path =>
     call({host: HOST, port, path, deadlineMs: 60_000});
   try {
-    await run({relay, clock, worker, port, call: callRelay, stall});
+    await run({
+      relay,
+      clock,
+      worker,
+      entry,
+      ports,
+      port,
+      call: callRelay,
+      stall,
+    });
   } finally {
     close();
     await worker.close();
   }
 }
 
-async function untilRequestRuns(worker: FakeWorker): Promise<void> {
-  for (let turn = 0; turn < 100 && worker.requests.length === 0; turn++) {
+/** Creates a snapshot whose routes have a long timeout. */
+function createLongSnapshot(workers: readonly MeshWorker[]): MeshSnapshot {
+  const snapshot = createSnapshot(workers);
+  snapshot.config!.routes.forEach(route => {
+    route.timeoutMs = ROUTE_TIMEOUT_MS;
+  });
+  return snapshot;
+}
+
+async function untilRequestRuns(worker: FakeWorker, count = 1): Promise<void> {
+  for (let turn = 0; turn < 100 && worker.requests.length < count; turn++) {
     await sleep(5);
   }
 }
@@ -187,4 +205,33 @@
       expect(received()).to.match(/^HTTP\/1.1 503 /);
     });
   });
+
+  it('guards against closing the connection of a request that is queued for the worker', async () => {
+    await withDrain(async fixture => {
+      const {relay, worker, entry, clock, ports, stall} = fixture;
+      const peerWorker = await startWorker('127.0.0.2');
+      const peerSource = new FakeSource(createLongSnapshot([entry]));
+      const peer = await startRelay(peerWorker, ports, peerSource, clock);
+      const callPeer = () =>
+        call({
+          host: '127.0.0.2',
+          port: ports[0]!,
+          path: '/buy/1',
+          deadlineMs: 60_000,
+        });
+      const running = Array.from({length: entry.slots}, callPeer);
+      await untilRequestRuns(worker, entry.slots);
+      const queued = callPeer();
+      await sleep(50);
+      const drained = relay.drain().then(() => relay.close());
+      await sleep(20);
+      await stall(GRACE_MS - LATE_SIGNAL_MS);
+      await drained;
+      expect((await queued).status).to.equal(503);
+      expect(worker.requests).to.have.length(entry.slots);
+      await Promise.all(running);
+      peer.close();
+      await peerWorker.close();
+    });
+  });
 });
