--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -166,6 +166,14 @@
     return {result, cancel: () => this.#cancel(pending)};
   }
 
+  /**
+   * Refuses all queued and new requests, because the relay is about to exit;
+   * running requests complete.
+   */
+  refuseQueued(): void {
+    this.#queue.drain();
+  }
+
   /**
    * Closes idle connections and requests that have expired; must be called once
    * a second.
