fix(bench): give the start bench's relay its link bandwidth

`npm run bench -- start` ended with 'nobody listens on 19500 after 10000 ms': the relay refuses settings without linkMbps, which the bench did not set.

--- a/testing/bench/src/start_bench.ts
+++ b/testing/bench/src/start_bench.ts
@@ -128,6 +128,7 @@
     workerAddress: address(4),
     storeAddress: address(5),
     metricsPort: basePort + 6,
+    linkMbps: 100,
     seedAddresses: [],
     graceS: 6,
     drainMs: 2000,
