--- a/config/mesh/src/config_delta.ts
+++ b/config/mesh/src/config_delta.ts
@@ -70,7 +70,11 @@
   return new Map(config.routes.map(route => [route.name, route]));
 }
 
-function isSameRoute(a: MeshRoute, b: MeshRoute): boolean {
+/** Whether two routes of the same name have the same contents. */
+export function isSameRoute(a: MeshRoute, b: MeshRoute): boolean {
+  if (a === b) {
+    return true;
+  }
   return (
     a.host === b.host &&
     a.pathPrefix === b.pathPrefix &&
