perf(follower): encode a delta once for all followers

What it cost: a reader answers up to 25 followers with the same delta when a version comes. After a change that adds 1400 routes it encoded 270 kB for each of them within one turn of its event loop, during which it forwarded nothing.

Change: FeedEncoder keeps the encoded bytes of a delta as long as the state keeps the delta, and joins them with the rest of each response. The feed's format is the same.

--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -23,6 +23,7 @@
   decodeFeedRequest,
   FEED_PATH,
   FeedClient,
+  FeedEncoder,
   ReaderFollower,
   SourceFollower,
   ChangeFeed,
@@ -80,6 +81,7 @@
   readonly #workerGate: WorkerGate;
   readonly #changeFeed: ChangeFeed;
   readonly #feedClient = new FeedClient();
+  readonly #feedEncoder = new FeedEncoder();
   readonly #readerFollower: ReaderFollower;
   readonly #sourceFollower: SourceFollower;
   readonly #outbound: OutboundHandler;
@@ -388,8 +390,8 @@
         readers: this.#readerFollower.readers,
       }),
     );
-    const body = JSON.stringify(feedResponse);
-    response.setHeader('Content-Length', Buffer.byteLength(body));
+    const body = this.#feedEncoder.encode(feedResponse);
+    response.setHeader('Content-Length', body.length);
     response.end(body);
   }
 
--- /dev/null
+++ b/fleet/follower/test/feed_encoder.test.ts
@@ -0,0 +1,68 @@
+import type {ConfigDelta, MeshRoute, RouteName} from '@carobseam/config.mesh';
+import type {ConfigVersion} from '@carobseam/core.types';
+import {FeedEncoder, type FeedResponse} from '@carobseam/fleet.follower';
+import {expect} from 'chai';
+
+describe('FeedEncoder', () => {
+  it('encodes a response with and without a delta', () => {
+    const encoder = new FeedEncoder();
+    for (const configDelta of [undefined, createDelta()]) {
+      const response = createResponse(1, configDelta);
+      expect(JSON.parse(encoder.encode(response).toString())).to.deep.equal(
+        JSON.parse(JSON.stringify(response)),
+      );
+    }
+  });
+
+  it('guards against encoding a large delta once for each follower', () => {
+    let encodings = 0;
+    const delta = createDelta();
+    const counted = {
+      ...delta,
+      toJSON: () => {
+        encodings++;
+        return delta;
+      },
+    };
+    const encoder = new FeedEncoder();
+    for (let sequence = 1; sequence <= 20; sequence++) {
+      const text = encoder.encode(createResponse(sequence, counted)).toString();
+      expect(JSON.parse(text).sequence).to.equal(sequence);
+    }
+    expect(encodings).to.equal(1);
+  });
+});
+
+function createDelta(): ConfigDelta {
+  return {
+    from: 1 as ConfigVersion,
+    to: 2 as ConfigVersion,
+    changedRoutes: [{name: 'r' as RouteName} as MeshRoute],
+    removedRoutes: [],
+    routeCount: 1,
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 2,
+      headerTimeoutMs: 3,
+      idleTimeoutMs: 4,
+    },
+  };
+}
+
+function createResponse(
+  sequence: number,
+  configDelta: ConfigDelta | undefined,
+): FeedResponse {
+  return {
+    sequence,
+    revision: 7 as FeedResponse['revision'],
+    configDelta,
+    lacksVersion: false,
+    workers: [],
+    isWhole: false,
+    run: 'a',
+    isReader: true,
+    readers: [],
+    contactAgeMs: 0,
+  };
+}
