perf(mesh): keep the deltas from each version until the next one

What it cost: the state kept only the last delta that it computed. In a burst of versions the followers of a reader are one or a few versions apart, so that polls from different versions replaced each other's delta and each of them compared all routes again.

The tests of config/mesh pass.

--- a/config/mesh/src/mesh_state.ts
+++ b/config/mesh/src/mesh_state.ts
@@ -96,7 +96,8 @@
   /** Sequence number at which the workers were last indexed. */
   #indexedSequence = 0;
   #recentConfigs: MeshConfig[] = [];
-  #lastDelta?: ConfigDelta;
+  /** Deltas to `#config`, by the version from which they start. */
+  #deltas = new Map<number, ConfigDelta>();
   #config?: MeshConfig;
   #routes?: RouteTable;
   #byService = new Map<ServiceName, MeshWorker[]>();
@@ -266,13 +267,10 @@
         ? {config, lacksVersion: false}
         : {lacksVersion: true};
     }
-    if (
-      this.#lastDelta?.from !== version ||
-      this.#lastDelta.to !== config.version
-    ) {
-      this.#lastDelta = diffConfigs(peerConfig, config);
-    }
-    return {configDelta: this.#lastDelta, lacksVersion: false};
+    const configDelta =
+      this.#deltas.get(version) ?? diffConfigs(peerConfig, config);
+    this.#deltas.set(version, configDelta);
+    return {configDelta, lacksVersion: false};
   }
 
   /**
@@ -289,6 +287,7 @@
       return;
     }
     this.#config = config;
+    this.#deltas.clear();
     this.#addRecentConfig(config);
     this.#sequence++;
     this.#routes = new RouteTable(config);
--- a/config/mesh/test/mesh_state.test.ts
+++ b/config/mesh/test/mesh_state.test.ts
@@ -251,6 +251,21 @@
       expect(receiver.state.config?.version).to.equal(3);
     });
 
+    it('guards against computing a delta for each of many peers with different versions', () => {
+      const {sender, put} = createPair();
+      put(1, {config: configOf(1, 'a')});
+      put(2, {config: configOf(2, 'a', 'b')});
+      put(3, {config: configOf(3, 'a', 'b', 'c')});
+      const deltaFrom = (version: number) =>
+        sender.state.updateSince(undefined, version, false).configDelta;
+      const first = [deltaFrom(1), deltaFrom(2)];
+      expect(first.map(delta => delta?.from)).to.deep.equal([1, 2]);
+      expect(deltaFrom(1)).to.equal(first[0]);
+      expect(deltaFrom(2)).to.equal(first[1]);
+      put(4, {config: configOf(4, 'a')});
+      expect(deltaFrom(2)?.to).to.equal(4);
+    });
+
     it('guards against a delta that is applied to another version', () => {
       const {sender, receiver, put} = createPair();
       put(1, {config: configOf(1, 'a')});
