test(soak): starve relays and count requests lost to silence

New faults: pauses of 300 to 1500 ms in series, throttling, reloads in series, each also during a SIGTERM, and relays that stop one after the other while others are starved. Workers record start, end and ending of each run, and one in five runs takes up to 905 ms. A request counts as lost when a worker ran it and its caller got a relay's own answer or a closed connection at least 200 ms before the route's timeout, with no process or link on the way killed or cut. A refusal still has its own check.

--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -9,6 +9,8 @@
 import {isCalmSince, SOAK_HOST, SoakMesh, type SoakVm} from './soak_mesh.js';
 
 const CALLERS_PER_VM = 2;
+const MAX_PAUSE_MS = 80; // between two requests of one caller
+const FULL_RATE_VMS = 8; // with more, each caller sends fewer requests
 const MIN_GAP_MS = 150; // faults come one after the other and at the same time
 const MAX_GAP_MS = 900;
 const MESH_FAULT_SHARE = 0.2; // of all faults; they concern every VM
@@ -18,6 +20,11 @@
 const CONFIG_INTERVAL_MS = 3000;
 const MIN_RECOVERED_SHARE = 0.98;
 const TRAFFIC_SEED_OFFSET = 1_000_000; // more seeds than anybody runs
+// Every other seed has a budget that the first faults exhaust.
+const RETRY_BUDGETS = [
+  {retryBudgetRatio: 0.2, retryBudgetSlack: 64},
+  {retryBudgetRatio: 0.01, retryBudgetSlack: 1},
+];
 const MAX_TOLD = 20; // broken promises that the result lists
 
 /** Options of `runSoak`. */
@@ -26,6 +33,8 @@
   durationMs: number;
   vms: number;
   basePort: number;
+  /** Names of the faults to choose from; all when undefined. */
+  only?: readonly string[];
   progress: (line: string) => void;
 }
 
@@ -67,6 +76,7 @@
     this.#mesh = new SoakMesh({
       vms: options.vms,
       basePort: options.basePort,
+      retryBudget: RETRY_BUDGETS[options.seed % RETRY_BUDGETS.length]!,
       random: this.#trafficRandom,
       ledger: this.#ledger,
     });
@@ -108,6 +118,9 @@
       (_, index) =>
         new SoakCaller({
           vm,
+          vms: this.#mesh.vms,
+          maxPauseMs:
+            MAX_PAUSE_MS * Math.max(1, this.#options.vms / FULL_RATE_VMS),
           name: `${vm.index}-${index}`,
           random: this.#trafficRandom,
           ledger: this.#ledger,
@@ -124,9 +137,10 @@
       broken: text => this.#tellBroken(text),
       lastRunMs: id => this.#ledger.lastRunMs(id),
     };
-    if (this.#random.nextFloat() < MESH_FAULT_SHARE) {
-      const name = this.#pick(Object.keys(meshFaults));
-      if (!this.#meshFault) {
+    const isOfMesh = this.#random.nextFloat() < MESH_FAULT_SHARE;
+    const name = this.#pick(this.#namesOf(isOfMesh ? meshFaults : vmFaults));
+    if (isOfMesh) {
+      if (name && !this.#meshFault) {
         this.#noteFault(`${name}`);
         this.#meshFault = meshFaults[name]!(context).finally(
           () => (this.#meshFault = undefined),
@@ -135,11 +149,10 @@
       return;
     }
     const idle = this.#mesh.vms.filter(vm => !vm.isBusy);
-    if (idle.length < 2) {
+    if (idle.length < 2 || !name) {
       return;
     }
-    const vm = this.#pick(idle);
-    const name = this.#pick(Object.keys(vmFaults));
+    const vm = this.#pick(idle)!;
     this.#noteFault(`${name} on vm-${vm.index}`);
     const fault = harm(vm, vmFaults[name]!, context);
     this.#running.add(fault);
@@ -187,8 +200,15 @@
     }
   }
 
-  #pick<T>(list: readonly T[]): T {
-    return list[this.#random.nextInt(list.length)]!;
+  #namesOf(faults: object): string[] {
+    const {only} = this.#options;
+    return Object.keys(faults).filter(name => !only || only.includes(name));
+  }
+
+  #pick<T>(list: readonly T[]): T | undefined {
+    return list.length > 0
+      ? list[this.#random.nextInt(list.length)]
+      : undefined;
   }
 
   #noteFault(text: string): void {
@@ -197,7 +217,7 @@
   }
 
   #tellBroken(text: string): void {
-    this.#broken.push(text);
+    this.#broken.push(`seed ${this.#options.seed}: ${text}`);
     this.#options.progress(`${timeText()} BROKEN ${text}`);
   }
 }
--- a/testing/soak/src/soak_caller.ts
+++ b/testing/soak/src/soak_caller.ts
@@ -3,12 +3,18 @@
 import http from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import type {Ledger} from './ledger.js';
-import {isCalmSince, SOAK_HOST, type SoakVm} from './soak_mesh.js';
+import {
+  isCalmSince,
+  isCutSince,
+  ROUTE_TIMEOUT_MS,
+  SOAK_HOST,
+  type SoakVm,
+} from './soak_mesh.js';
 import {bodyOf, sealOf} from './soak_worker.js';
 
 const DEADLINE_MS = 2500;
 const HELD_MS = 1000; // past the deadline; a turn of this busy process may take a part of it
-const MAX_PAUSE_MS = 80; // between two requests of one caller
+const EARLY_MS = 200; // an answer by so much before the timeout is not one for it
 const UNSAFE_SHARE = 0.3;
 const FRESH_CONNECTION_SHARE = 0.3;
 const SETTLE_MS = 300; // a relay that has just met a fault may still answer for it
@@ -34,6 +40,9 @@
 /** Options of `SoakCaller`. */
 export interface SoakCallerOptions {
   vm: SoakVm;
+  vms: readonly SoakVm[];
+  /** Longest time between two requests, in ms. */
+  maxPauseMs: number;
   name: string;
   random: RandomSource;
   ledger: Ledger;
@@ -56,10 +65,10 @@
   }
 
   async run(): Promise<void> {
-    const {random} = this.#options;
+    const {random, maxPauseMs} = this.#options;
     while (!this.#isStopped) {
       await this.#call();
-      await pause(random.nextFloat() * MAX_PAUSE_MS);
+      await pause(random.nextFloat() * maxPauseMs);
     }
     this.#agent.destroy();
   }
@@ -72,12 +81,12 @@
   finish(): number {
     const {ledger, counts} = this.#options;
     for (const id of this.#promisedIds) {
-      if (ledger.runsOf(id) > 0) {
+      if (ledger.runsOf(id).length > 0) {
         counts.false_refusals++;
         this.#broken(id, 'ran though its refusal said it had not');
       }
     }
-    const doubled = this.#unsafeIds.filter(id => ledger.runsOf(id) > 1);
+    const doubled = this.#unsafeIds.filter(id => ledger.runsOf(id).length > 1);
     doubled.forEach(id => this.#broken(id, 'ran more than once'));
     return doubled.length;
   }
@@ -93,13 +102,50 @@
     if (isUnsafe) {
       this.#unsafeIds.push(id);
     }
-    if (typeof outcome === 'string') {
+    if (this.#isLost(id, outcome, sentMs)) {
+      counts.lost++;
+    } else if (typeof outcome === 'string') {
       this.#checkMissing(id, outcome, sentMs);
     } else {
       this.#checkAnswer(id, url, outcome, isUnsafe);
     }
   }
 
+  /**
+   * Whether a relay ended the request early, with an answer of its own or none,
+   * though a worker ran it and nothing on its way was killed or cut.
+   */
+  #isLost(id: string, outcome: Outcome, sentMs: number): boolean {
+    const {vm, vms, ledger} = this.#options;
+    const endMs = performance.now();
+    const isFromWorker = typeof outcome !== 'string' && outcome.seal;
+    const isLate = endMs - sentMs > ROUTE_TIMEOUT_MS - EARLY_MS;
+    if (isFromWorker || isLate || isCutSince(vm, sentMs)) {
+      return false;
+    }
+    const run = ledger
+      .runsOf(id)
+      .find(
+        ({vmIndex, ending}) =>
+          ending !== 'spoiled' && !isCutSince(vms[vmIndex]!, sentMs),
+      );
+    if (!run) {
+      return false;
+    }
+    const after = (ms: number) => `${Math.round(ms - sentMs)} ms`;
+    const end = typeof outcome === 'string' ? outcome : outcome.status;
+    const work = run.endMs
+      ? `${run.ending} after ${after(run.endMs)}`
+      : 'still at work';
+    const sent = new Date(performance.timeOrigin + sentMs).toISOString();
+    this.#broken(
+      id,
+      `lost: ${end} from vm-${vm.index} after ${after(endMs)}, sent ${sent}, ` +
+        `run by ${run.workerId} after ${after(run.startMs)}, ${work}`,
+    );
+    return true;
+  }
+
   #checkAnswer(
     id: string,
     url: string,
@@ -132,7 +178,7 @@
       this.#broken(id, 'got no answer until long after its deadline');
     }
     // A relay that stops gracefully owes an answer to what it passed on.
-    const isOwed = wasCalm || (!hasEnded && ledger.runsOf(id) > 0);
+    const isOwed = wasCalm || (!hasEnded && ledger.runsOf(id).length > 0);
     if (outcome === 'closed' && isOwed && vm.process!.isRunning) {
       counts.lost++;
       this.#broken(id, 'was closed without an answer');
--- a/testing/soak/src/soak_faults.ts
+++ b/testing/soak/src/soak_faults.ts
@@ -3,6 +3,7 @@
 import type {LinkMood} from './fault_proxy.js';
 import {
   DRAIN_MS,
+  GRACE_MS,
   isCalmSince,
   type SoakMesh,
   type SoakVm,
@@ -11,6 +12,18 @@
 
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 2000; // above the silence after which relays give up on each other
+const MAX_PAUSES = 4;
+const MIN_PAUSE_MS = 300;
+const MAX_PAUSE_MS = 1500; // as long as a relay without processor time was silent
+const MAX_PAUSE_GAP_MS = 500;
+const MIN_THROTTLE_MS = 1000;
+const MAX_THROTTLE_MS = 4000;
+const THROTTLED_MS = 70; // of each period, as under a limit of 0.3 of a core
+const THROTTLE_PERIOD_MS = 100;
+const RELOADS = 4;
+const MAX_RELOAD_GAP_MS = 400;
+const ROLL_VMS = 6;
+const ROLL_GAP_MS = 300;
 const LAPSE_MS = 4500; // three missed reports of a worker
 const CONTACT_MS = 3000; // bounds hold for relays that were calm for as long
 const SERVE_ON_MS = 400; // a drained worker serves a little longer than it must
@@ -29,7 +42,11 @@
 type MeshFault = (context: FaultContext) => Promise<void>;
 
 function faultMs(random: RandomSource): number {
-  return MIN_FAULT_MS + random.nextFloat() * (MAX_FAULT_MS - MIN_FAULT_MS);
+  return between(random, MIN_FAULT_MS, MAX_FAULT_MS);
+}
+
+function between(random: RandomSource, min: number, max: number): number {
+  return min + random.nextFloat() * (max - min);
 }
 
 async function restart(vm: SoakVm, context: FaultContext): Promise<void> {
@@ -39,14 +56,19 @@
 
 const kill: VmFault = async (vm, context) => {
   vm.endedMs = performance.now();
+  vm.cutMs = Infinity;
   await vm.process!.kill();
+  vm.cutMs = performance.now();
   await restart(vm, context);
 };
 
 const terminate: VmFault = async (vm, context) => {
-  const process = vm.process!;
-  await process.stop();
+  const startMs = performance.now();
+  await vm.process!.stop();
   vm.endedMs = performance.now();
+  if (vm.endedMs > startMs + GRACE_MS) {
+    vm.cutMs = vm.endedMs;
+  }
   await restart(vm, context);
 };
 
@@ -56,27 +78,64 @@
   vm.process!.signal('SIGCONT');
 };
 
-const reload: VmFault = vm => {
-  vm.process!.signal('SIGHUP');
-  return Promise.resolve();
+/** Takes the processor from a relay several times. */
+const starve: VmFault = async (vm, {random}) => {
+  const process = vm.process!; // not the one that may follow it
+  const pauses = 1 + random.nextInt(MAX_PAUSES);
+  for (let count = 0; count < pauses; count++) {
+    process.signal('SIGSTOP');
+    await pause(between(random, MIN_PAUSE_MS, MAX_PAUSE_MS));
+    process.signal('SIGCONT');
+    await pause(between(random, 0, MAX_PAUSE_GAP_MS));
+  }
 };
 
+const throttle: VmFault = async (vm, {random}) => {
+  const process = vm.process!;
+  const endMs =
+    performance.now() + between(random, MIN_THROTTLE_MS, MAX_THROTTLE_MS);
+  while (performance.now() < endMs) {
+    process.signal('SIGSTOP');
+    await pause(THROTTLED_MS);
+    process.signal('SIGCONT');
+    await pause(THROTTLE_PERIOD_MS - THROTTLED_MS);
+  }
+};
+
+const reload: VmFault = async (vm, {random}) => {
+  const process = vm.process!;
+  for (let count = 0; count < RELOADS; count++) {
+    process.signal('SIGHUP');
+    await pause(between(random, 0, MAX_RELOAD_GAP_MS));
+  }
+};
+
+const together =
+  (...faults: VmFault[]): VmFault =>
+  async (vm, context) => {
+    await Promise.all(faults.map(fault => fault(vm, context)));
+  };
+
 const harmLink =
   (of: (vm: SoakVm) => SoakVm['inboundProxy'], mood: LinkMood): VmFault =>
   async (vm, {random}) => {
     of(vm).mood = mood;
+    vm.cutMs = mood === 'slow' ? vm.cutMs : Infinity;
     await pause(faultMs(random));
     of(vm).mood = 'passing';
     of(vm).resetAll();
+    vm.cutMs = performance.now();
   };
 
 const resetLink: VmFault = vm => {
+  vm.cutMs = performance.now();
   vm.inboundProxy.resetAll();
   return Promise.resolve();
 };
 
 const crashWorker: VmFault = async (vm, {mesh, random}) => {
   const {id} = vm.worker;
+  vm.cutMs = performance.now();
   await vm.worker.crash();
   setTimeout(() => mesh.store.removeWorker(id), LAPSE_MS);
   await pause(faultMs(random));
@@ -95,6 +154,7 @@
   if (lateMs > 0 && isCalm) {
     broken(`worker ${id} got a request ${Math.round(lateMs)} ms too late`);
   }
+  vm.cutMs = performance.now();
   await vm.worker.crash();
   mesh.store.removeWorker(id);
   await mesh.startWorker(vm);
@@ -128,6 +188,12 @@
   terminate: {run: terminate, isWorkerOnly: false},
   suspend: {run: suspend, isWorkerOnly: false},
   reload: {run: reload, isWorkerOnly: false},
+  starve: {run: starve, isWorkerOnly: false},
+  throttle: {run: throttle, isWorkerOnly: false},
+  terminateStarved: {run: together(terminate, starve), isWorkerOnly: false},
+  terminateThrottled: {run: together(terminate, throttle), isWorkerOnly: false},
+  terminateReloaded: {run: together(terminate, reload), isWorkerOnly: false},
+  reloadStarved: {run: together(reload, starve), isWorkerOnly: false},
   slowLink: {run: harmLink(vm => vm.inboundProxy, 'slow'), isWorkerOnly: false},
   oneWayLink: {
     run: harmLink(vm => vm.inboundProxy, 'oneWay'),
@@ -177,6 +243,19 @@
   storeSilent: awayStore('silent'),
   compact: ({mesh}) => Promise.resolve(mesh.store.compact()),
   stormConfig,
+  /** Stops one relay after the other while others lack processor time. */
+  rollStarved: async context => {
+    const idle = context.mesh.vms.filter(vm => !vm.isBusy).slice(0, ROLL_VMS);
+    const faults = [vmFaults['terminate']!, vmFaults['starve']!];
+    await Promise.all(
+      idle.map(async (vm, index) => {
+        await pause(index * ROLL_GAP_MS);
+        if (!vm.isBusy) {
+          await harm(vm, faults[index % faults.length]!, context);
+        }
+      }),
+    );
+  },
   killAll: async context => {
     const {vms} = context.mesh;
     const idle = vms.filter(vm => !vm.isBusy);
--- a/testing/soak/src/soak_mesh.ts
+++ b/testing/soak/src/soak_mesh.ts
@@ -17,6 +17,7 @@
 import {closeSync, mkdtempSync, openSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import {setTimeout as pause} from 'node:timers/promises';
 import {FaultProxy} from './fault_proxy.js';
 import type {Ledger} from './ledger.js';
 import {SoakWorker} from './soak_worker.js';
@@ -26,13 +27,17 @@
   '../../../../target/carobseam-relay.mjs',
 );
 const SLOTS = 8;
-const GRACE_S = 6;
+const START_GAP_MS = 100; // a hundred relays that start at once exhaust the processor
 const SERVICE = 'desk' as ServiceName;
 const WIDE_MBPS = 100;
 const THIN_MBPS = 5;
 
 /** Host of the requests that the configuration routes. */
 export const SOAK_HOST = 'hints.example';
+/** Timeout of the routes; callers grant more, in ms. */
+export const ROUTE_TIMEOUT_MS = 1500;
+/** Time between SIGTERM and SIGKILL, in ms. */
+export const GRACE_MS = 6000;
 /** Time after which a leaving worker must get nothing, in ms. */
 export const DRAIN_MS = 2500;
 
@@ -49,6 +54,8 @@
   process?: ProcessHandle;
   /** Last moment of a fault on this VM, on `performance.now`, in ms. */
   faultMs: number;
+  /** When relay or worker were last killed or the inbound link was cut. */
+  cutMs: number;
   /** When the relay last ended. */
   endedMs: number;
   /** Whether a fault is under way, and whether it concerns the relay. */
@@ -61,10 +68,16 @@
   return !vm.isHarmed && vm.faultMs < sinceMs;
 }
 
+/** Whether a process on a VM was killed or its link cut since a moment. */
+export function isCutSince(vm: SoakVm, sinceMs: number): boolean {
+  return vm.cutMs >= sinceMs;
+}
+
 /** Options of `SoakMesh`. */
 export interface SoakMeshOptions {
   vms: number;
   basePort: number;
+  retryBudget: {retryBudgetRatio: number; retryBudgetSlack: number};
   random: RandomSource;
   ledger: Ledger;
 }
@@ -95,7 +108,10 @@
     process.once('exit', () =>
       this.vms.forEach(vm => vm.process?.signal('SIGKILL')),
     );
-    this.vms.forEach(vm => this.startRelay(vm));
+    for (const vm of this.vms) {
+      this.startRelay(vm);
+      await pause(START_GAP_MS);
+    }
   }
 
   /** Puts the next version in force: only its own probe route exists. */
@@ -159,7 +175,7 @@
   }
 
   async #createVm(index: number): Promise<SoakVm> {
-    const {basePort, random, ledger} = this.#options;
+    const {basePort, retryBudget, random, ledger} = this.#options;
     const [host, shown] = [`127.0.10.${index + 1}`, publicHost(index)];
     const inboundProxy = new FaultProxy({host, port: basePort + 2});
     await inboundProxy.listen(shown, basePort + 2);
@@ -179,10 +195,9 @@
       seedAddresses: [],
       storeAddress: `${shown}:${basePort + 5}`,
       linkMbps: index < 2 ? WIDE_MBPS : THIN_MBPS,
-      graceS: GRACE_S,
+      graceS: GRACE_MS / 1000,
       drainMs: DRAIN_MS,
-      retryBudgetRatio: 0.2,
-      retryBudgetSlack: 64,
+      ...retryBudget,
     };
     const file = path.join(this.logDir, `relay-${index}.yaml`);
     writeFileSync(file, JSON.stringify(settings));
@@ -193,6 +208,7 @@
       worker: new SoakWorker({
         host: shown,
         port: basePort,
+        vmIndex: index,
         slots: SLOTS,
         random,
         ledger,
@@ -200,6 +216,7 @@
       inboundProxy,
       storeProxy,
       faultMs: -Infinity,
+      cutMs: -Infinity,
       endedMs: -Infinity,
       isBusy: false,
       isHarmed: false,
@@ -219,7 +236,7 @@
     host: SOAK_HOST,
     pathPrefix: `/${name}/`,
     isIdempotent,
-    timeoutMs: 1500,
+    timeoutMs: ROUTE_TIMEOUT_MS,
     targetLatencyMs: 400,
     rank: isIdempotent ? 2 : 1,
     maxAttempts: 2,
--- a/testing/soak/src/soak_worker.ts
+++ b/testing/soak/src/soak_worker.ts
@@ -1,10 +1,12 @@
 import type {RandomSource} from '@carobseam/core.types';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import http from 'node:http';
-import type {Ledger} from './ledger.js';
+import {endRun, type Ledger, type Run} from './ledger.js';
 
 const MIN_WORK_MS = 5;
 const WORK_SPREAD_MS = 60; // some requests meet a fault while they run
+const LONG_WORK_SHARE = 0.2;
+const LONG_WORK_SPREAD_MS = 900; // ends before the route's timeout
 
 /** How a worker spoils its answers. */
 export type WorkerMood =
@@ -14,6 +16,7 @@
 export interface SoakWorkerOptions {
   host: string;
   port: number;
+  vmIndex: number;
   slots: number;
   random: RandomSource;
   ledger: Ledger;
@@ -76,23 +79,43 @@
       return;
     }
     this.#running++;
-    this.#options.ledger.ran(id, this.id);
-    const workMs =
-      MIN_WORK_MS + this.#options.random.nextFloat() * WORK_SPREAD_MS;
+    const {ledger, vmIndex} = this.#options;
+    const run = ledger.begin(id, this.id, vmIndex);
+    response.once('close', () =>
+      endRun(run, response.writableFinished ? 'answered' : 'cut'),
+    );
     setTimeout(() => {
       this.#running--;
-      this.#answer(id, request.url!, response);
-    }, workMs);
+      if (!run.ending) {
+        this.#answer(id, request.url!, response, run);
+      }
+    }, this.#workMs());
   }
 
-  #answer(id: string, url: string, response: http.ServerResponse): void {
+  #workMs(): number {
+    const {random} = this.#options;
+    const isLong = random.nextFloat() < LONG_WORK_SHARE;
+    const spreadMs = isLong ? LONG_WORK_SPREAD_MS : WORK_SPREAD_MS;
+    return MIN_WORK_MS + random.nextFloat() * spreadMs;
+  }
+
+  #answer(
+    id: string,
+    url: string,
+    response: http.ServerResponse,
+    run: Run,
+  ): void {
     response.setHeader(wireHeaders.workerSignature, sealOf(id));
     const body = bodyOf(id, url);
     const isSpoiled = this.#options.random.nextFloat() < SPOILED_SHARE;
     const moods: Record<WorkerMood, () => void> = {
       sound: () => response.end(body),
-      losing: () => response.destroy(),
+      losing: () => {
+        endRun(run, 'spoiled');
+        response.destroy();
+      },
       cutting: () => {
+        endRun(run, 'spoiled');
         response.setHeader('Content-Length', body.length);
         response.write(body.slice(0, body.length / 2), () =>
           response.destroy(),
