fix(proxy): wait for a silent worker when no retry can be sent

Callers of a daemon got 504 response_timeout before their deadline while a worker ran their call: after the first-byte timeout (1 s by default) when the worker was slow, 1 s later when the daemon of the worker lacked processor time, and at once when that daemon was shutting down, because it refuses the connection of the check. The attempt was given up first, which cancelled the request at the worker, and only then the retry was decided, so that a call that is not repeatable, has spent its retries or budget, or has no other worker was lost. The policy's setting promises a check of the connection, not an end of the call.

An attempt that may still run now asks its call first. The call reserves a retry, with its worker and its part of the budget; without one the attempt goes on until the deadline. A peer's statement that it does not know the call and a request that was never written end an attempt as before. The daemon of the worker cannot retry itself, so it waits and states worker_silent in its answer to the check, on which the entry daemon decides. Older entry daemons take that answer as before.

--- a/calls/proxy/src/attempt.ts
+++ b/calls/proxy/src/attempt.ts
@@ -17,12 +17,20 @@
   readonly canRetrySameWorker?: boolean;
 }
 
-/** Receives the result of an attempt; exactly one method is called. */
+/**
+ * Receives the result of an attempt; exactly one method besides `onSilent` is
+ * called.
+ */
 export interface AttemptListener {
   onResponse(response: IncomingMessage): void;
   /** The idempotency key has a stored response. */
   onStoredResponse(response: StoredResponse): void;
   onFailure(failure: AttemptFailure): void;
+  /**
+   * The worker may be at work on the request but has sent nothing. Returns
+   * whether to give the attempt up, because the call can be retried.
+   */
+  onSilent(): boolean;
 }
 
 /** One attempt of a call, on the local worker or through a peer. */
--- a/calls/proxy/src/call.ts
+++ b/calls/proxy/src/call.ts
@@ -5,7 +5,6 @@
 import {
   callHeaders,
   formatLoad,
-  parseLoad,
   refusalDefinitions,
   type RefusalReason,
 } from '@carobseam/calls.types';
@@ -22,6 +21,7 @@
 import {chooseOwner} from './choose_owner.js';
 import {PeerAttempt} from './peer_attempt.js';
 import {forwardResponse} from './forward_response.js';
+import {recordWorkerLoad} from './record_worker_load.js';
 import {sendRefusal} from './send_refusal.js';
 import {WorkerAttempt} from './worker_attempt.js';
 
@@ -61,6 +61,9 @@
   #timer?: Timer;
   #attempt?: Attempt;
   #worker?: WorkerEndpoint;
+  /** Worker that is to replace the one that is silent. */
+  #reservedRetry?: WorkerEndpoint;
+  #isWorkerSilent = false;
   #retryCount = 0;
   #isFinished = false;
 
@@ -77,6 +80,11 @@
     return this.#options.isForwarded;
   }
 
+  /** Whether the worker has sent nothing within the first-byte timeout. */
+  get isWorkerSilent(): boolean {
+    return this.#isWorkerSilent;
+  }
+
   start(): void {
     const {deps, data, res, isForwarded} = this.#options;
     const {policy} = data.resolved;
@@ -98,7 +106,10 @@
 
   onResponse(response: IncomingMessage): void {
     const attempt = this.#attempt!;
-    this.#recordWorkerLoad(response);
+    this.#isWorkerSilent = false;
+    if (this.#worker) {
+      recordWorkerLoad(this.#options.deps, this.#worker, response.headers);
+    }
     if (this.#retryAfterShed(response)) {
       return;
     }
@@ -135,7 +146,8 @@
     }
     this.#attempt = undefined;
     this.#recordFailure(failure);
-    const worker = this.#chooseRetry(failure);
+    const worker = this.#reservedRetry ?? this.#chooseRetry(failure);
+    this.#reservedRetry = undefined;
     if (worker) {
       this.#retryCount++;
       this.#options.data.resent = true;
@@ -149,6 +161,12 @@
     });
   }
 
+  onSilent(): boolean {
+    this.#isWorkerSilent = true;
+    this.#reservedRetry = this.#chooseRetry({reason: 'response_timeout'});
+    return this.#reservedRetry !== undefined;
+  }
+
   #startFirstAttempt(): void {
     const {deps, data, isForwarded} = this.#options;
     if (this.#isFinished) {
@@ -186,7 +204,9 @@
     const workers = deps.blackboard.read('endpoints').get(service.name);
     return deps.loadBalancer.chooseWorker(workers, {
       allowOtherDataCentres: policy.allowOtherDataCentres,
-      triedVmIds: this.#triedVmIds,
+      triedVmIds: this.#worker
+        ? [...this.#triedVmIds, this.#worker.vmId]
+        : this.#triedVmIds,
     });
   }
 
@@ -216,25 +236,6 @@
     attempt.start();
   }
 
-  #recordWorkerLoad(response: IncomingMessage): void {
-    const {deps} = this.#options;
-    if (!this.#worker) {
-      return;
-    }
-    const {vmId} = this.#worker;
-    if (vmId === deps.vmId) {
-      deps.loadBalancer.reportLoad(vmId, deps.localWorker.admission.load());
-      return;
-    }
-    const load = parseLoad(response.headers[callHeaders.load]);
-    if (load) {
-      deps.loadBalancer.reportLoad(vmId, load);
-    }
-    if (response.headers[callHeaders.leaving] === '1') {
-      deps.loadBalancer.markLeaving(vmId);
-    }
-  }
-
   #recordFailure({reason, canRetrySameWorker}: AttemptFailure): void {
     const {deps, data} = this.#options;
     const worker = this.#releaseWorker();
--- a/calls/proxy/src/call_server.ts
+++ b/calls/proxy/src/call_server.ts
@@ -20,6 +20,7 @@
   type ServerResponse,
 } from 'node:http';
 import {Call} from './call.js';
+import type {ProbeAnswer} from './probes.js';
 import {readCall} from './read_call.js';
 import type {CallDependencies, CallServerOptions} from './call_dependencies.js';
 import {KeepAliveAgent} from './keep_alive_agent.js';
@@ -43,8 +44,8 @@
   readonly #server: Server;
   readonly #peerAgent = new KeepAliveAgent();
   readonly #calls = new Set<Call>();
-  /** Identifiers of calls in flight that peers have forwarded. */
-  readonly #forwardedCallIds = new Set<string>();
+  /** Calls in flight that peers have forwarded, by their identifiers. */
+  readonly #forwardedCalls = new Map<string, Call>();
   readonly #stopObservers: (() => void)[] = [];
   #callCount = 0;
   #loadTimer?: Timer;
@@ -252,7 +253,7 @@
     });
     this.#calls.add(call);
     if (isForwarded) {
-      this.#forwardedCallIds.add(callIdOf(req));
+      this.#forwardedCalls.set(callIdOf(req), call);
     }
     call.start();
   }
@@ -260,7 +261,7 @@
   readonly #onCallFinished = (call: Call): void => {
     this.#calls.delete(call);
     if (call.isForwarded) {
-      this.#forwardedCallIds.delete(callIdOf(call.req));
+      this.#forwardedCalls.delete(callIdOf(call.req));
     }
     if (this.#calls.size === 0) {
       this.#onAllCallsFinished?.();
@@ -268,8 +269,10 @@
   };
 
   #respondToProbe(callId: string, res: ServerResponse): void {
-    const isKnown = this.#forwardedCallIds.has(callId);
-    res.writeHead(204, {[callHeaders.probe]: isKnown ? 'known' : 'unknown'});
+    const call = this.#forwardedCalls.get(callId);
+    const knownAnswer = call?.isWorkerSilent ? 'worker_silent' : 'known';
+    const answer: ProbeAnswer = call ? knownAnswer : 'unknown';
+    res.writeHead(204, {[callHeaders.probe]: answer});
     res.end();
   }
 
--- a/calls/proxy/src/exchange.ts
+++ b/calls/proxy/src/exchange.ts
@@ -38,14 +38,16 @@
   readonly firstByteTimeoutMs: number;
   /** Checks the other side over a new connection after that timeout. */
   readonly probe: (onResult: (result: ProbeResult) => void) => void;
+  /** Whether a request that was written may be given up after the probe. */
+  readonly canGiveUp: (result: ProbeResult) => boolean;
   /** The request is given up after the probe. */
   readonly onUnresponsive: (result: ProbeResult) => void;
 }
 
 /**
  * Sends one request to a peer or worker and waits for the response headers.
- * After the first-byte timeout it probes the other side over a new connection:
- * it keeps waiting when a peer still works on the call, else it fails.
+ * After the first-byte timeout it probes the other side over a new connection,
+ * and keeps waiting unless the request may be given up.
  */
 export class Exchange {
   readonly #options: ExchangeOptions;
@@ -127,7 +129,7 @@
       if (this.#isSettled) {
         return;
       }
-      if (result === 'call_known') {
+      if (this.written && !this.#options.canGiveUp(result)) {
         this.#startFirstByteTimer();
         return;
       }
--- a/calls/proxy/src/peer_attempt.ts
+++ b/calls/proxy/src/peer_attempt.ts
@@ -57,6 +57,10 @@
         body: data.body,
         firstByteTimeoutMs: data.resolved.policy.firstByteTimeoutMs,
         probe: onResult => probeDaemon(peer, callId, onResult),
+        // `working` means that the peer does not work on the call.
+        canGiveUp: result =>
+          result === 'working' ||
+          (result !== 'call_known' && this.#options.listener.onSilent()),
         onUnresponsive: reason =>
           metrics.increment('carobseam_connections_replaced_total', {reason}),
       },
--- a/calls/proxy/src/probes.ts
+++ b/calls/proxy/src/probes.ts
@@ -8,9 +8,12 @@
  * - `working`: the connection works, and the call is not known there;
  * - `refused`: the connection failed;
  * - `silent`: the probe timed out;
- * - `call_known`: the peer still works on the call.
+ * - `call_known`: the peer still works on the call;
+ * - `worker_silent`: the peer still waits for its worker, which has exceeded the
+ *   first-byte timeout.
  */
-export type ProbeResult = 'working' | 'refused' | 'silent' | 'call_known';
+export type ProbeResult =
+  'working' | 'refused' | 'silent' | 'call_known' | 'worker_silent';
 
 /** An address to connect to. */
 export interface ProbeTarget {
@@ -20,6 +23,15 @@
 
 const PROBE_TIMEOUT_MS = 1000;
 
+/** What a daemon knows of a call, as its response to a probe states it. */
+export type ProbeAnswer = 'known' | 'worker_silent' | 'unknown';
+
+const PROBE_RESULTS: Record<ProbeAnswer, ProbeResult> = {
+  known: 'call_known',
+  worker_silent: 'worker_silent',
+  unknown: 'working',
+};
+
 /** Probes a worker by opening a new connection to it. */
 export function probeWorker(
   target: ProbeTarget,
@@ -66,8 +78,8 @@
   outgoing.on('response', response => {
     response.resume();
     response.on('error', () => {});
-    const isKnown = response.headers[callHeaders.probe] === 'known';
-    finish(isKnown ? 'call_known' : 'working');
+    const answer = response.headers[callHeaders.probe] as ProbeAnswer;
+    finish(PROBE_RESULTS[answer] ?? 'working');
   });
   outgoing.end();
 }
--- a/calls/proxy/src/worker_attempt.ts
+++ b/calls/proxy/src/worker_attempt.ts
@@ -177,6 +177,8 @@
         body,
         firstByteTimeoutMs: resolved.policy.firstByteTimeoutMs,
         probe: onResult => probeWorker(upstream, onResult),
+        // A new connection does not show whether the worker runs the request.
+        canGiveUp: () => this.#listener.onSilent(),
         onUnresponsive: result =>
           this.#localWorker.countReplacedConnection(result),
       },
--- a/calls/proxy/test/call_server.test.ts
+++ b/calls/proxy/test/call_server.test.ts
@@ -232,6 +232,62 @@
     expect((await sendCall(a.port)).body).to.equal('slow');
   });
 
+  it('guards against ending a call before its deadline because of a slow worker', async () => {
+    const slow = await harness.startUpstream((_req, res) => {
+      setTimeout(() => res.end('slow'), 200);
+    });
+    const policy = {firstByteTimeoutMs: 50, retryBudgetPercent: 0};
+    const a = await harness.startDaemon(slow, {id: 'vm-a', policy});
+    const b = await harness.startDaemon(slow, {id: 'vm-b', policy});
+    a.listWorkers(a.endpoint);
+    expect((await sendCall(a.port)).body).to.equal('slow');
+    expect((await sendCall(a.port, purchase)).body).to.equal('slow');
+    a.listWorkers(b.endpoint);
+    expect((await sendCall(a.port)).body).to.equal('slow');
+  });
+
+  it('guards against ending a call before its deadline because of a paused peer', async () => {
+    const paused = await harness.startRawUpstream((socket, connection) => {
+      const response = 'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nslow';
+      setTimeout(() => connection === 0 && socket.write(response), 1300);
+    });
+    const policy = {firstByteTimeoutMs: 50};
+    const a = await harness.startDaemon(1, {id: 'vm-a', policy});
+    a.listWorkers(makeEndpoint('vm-b', paused));
+    expect((await sendCall(a.port)).body).to.equal('slow');
+  });
+
+  it('guards against ending a call before its deadline because its peer shuts down', async () => {
+    const slow = await harness.startUpstream((_req, res) => {
+      setTimeout(() => res.end('slow'), 400);
+    });
+    const a = await harness.startDaemon(1, {
+      id: 'vm-a',
+      policy: {firstByteTimeoutMs: 150},
+    });
+    const b = await harness.startDaemon(slow, {id: 'vm-b'});
+    a.listWorkers(b.endpoint);
+    const running = sendCall(a.port);
+    await pause(50);
+    b.blackboard.write('lifecycle', 'leaving');
+    void b.server.close();
+    expect((await running).body).to.equal('slow');
+  });
+
+  it('retries elsewhere when the worker of a peer does not respond in time', async () => {
+    const silent = await harness.startRawUpstream(() => {});
+    const good = await harness.startUpstream((_req, res) => res.end('good'));
+    const policy = {firstByteTimeoutMs: 50};
+    const a = await harness.startDaemon(1, {id: 'vm-a', policy});
+    const b = await harness.startDaemon(silent, {id: 'vm-b', policy});
+    const c = await harness.startDaemon(good, {id: 'vm-c', policy});
+    a.listWorkers(b.endpoint);
+    const call = sendCall(a.port);
+    await pause(20);
+    a.listWorkers(b.endpoint, c.endpoint);
+    expect((await call).body).to.equal('good');
+  });
+
   it('refuses a call at once when the queue is full', async () => {
     const upstream = await harness.startUpstream((_req, res) => {
       setTimeout(() => res.end('ok'), 200);
