fix(proxy): do not promise not-run after an attempt that may have run

Callers got a refusal of kind not-run, for example 503 peer_unreachable or 429 queue_full, for a call whose first attempt a worker may have run: the refusal stated only the failure of the last attempt. A caller that trusts it sends the request again.

A call now keeps the reason of the first attempt that may have run, and states it in place of a not-run reason of a later attempt or of the deadline.

--- a/calls/proxy/src/call.ts
+++ b/calls/proxy/src/call.ts
@@ -21,22 +21,13 @@
 import {chooseOwner} from './choose_owner.js';
 import {PeerAttempt} from './peer_attempt.js';
 import {forwardResponse} from './forward_response.js';
+import {recordWorkerFailure} from './record_worker_failure.js';
 import {recordWorkerLoad} from './record_worker_load.js';
 import {sendRefusal} from './send_refusal.js';
 import {WorkerAttempt} from './worker_attempt.js';
 
 type Outcome = 'completed' | 'refused' | 'cancelled' | 'broken';
 
-/** Failures that count towards the outlier ejection of a worker. */
-const WORKER_FAILURES: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
-  'starting',
-  'worker_down',
-  'peer_unreachable',
-  'worker_failed',
-  'response_timeout',
-  'response_incomplete',
-  'owner_unreachable',
-]);
 const SHED_STATUS = 503;
 
 export interface CallOptions {
@@ -64,6 +55,8 @@
   /** Worker that is to replace the one that is silent. */
   #reservedRetry?: WorkerEndpoint;
   #isWorkerSilent = false;
+  /** First failure after which a worker may have run the request. */
+  #unknownReason?: RefusalReason;
   #retryCount = 0;
   #isFinished = false;
 
@@ -237,7 +230,9 @@
   }
 
   #recordFailure({reason, canRetrySameWorker}: AttemptFailure): void {
-    const {deps, data} = this.#options;
+    if (isOutcomeUnknown(reason)) {
+      this.#unknownReason ??= reason;
+    }
     const worker = this.#releaseWorker();
     if (!worker) {
       return;
@@ -245,13 +240,7 @@
     if (!canRetrySameWorker) {
       this.#triedVmIds.push(worker.vmId);
     }
-    if (reason === 'leaving') {
-      deps.loadBalancer.markLeaving(worker.vmId);
-    } else if (WORKER_FAILURES.has(reason)) {
-      const {name} = data.resolved.service;
-      const workers = deps.blackboard.read('endpoints').get(name);
-      deps.loadBalancer.recordFailure(worker.vmId, workers);
-    }
+    recordWorkerFailure(this.#options.deps, worker, reason);
   }
 
   #chooseRetry(failure: AttemptFailure): WorkerEndpoint | undefined {
@@ -283,6 +272,7 @@
       return false;
     }
     this.#triedVmIds.push(this.#worker.vmId);
+    this.#unknownReason ??= 'worker_shed';
     const worker = this.#chooseRetry({reason: 'worker_shed'});
     if (!worker) {
       return false;
@@ -339,7 +329,7 @@
     const {res} = this.#options;
     const reason = this.#attempt?.cancel() ?? 'deadline_exceeded';
     this.#attempt = undefined;
-    if (refusalDefinitions[reason].kind === 'outcome-unknown') {
+    if (isOutcomeUnknown(reason)) {
       this.#recordFailure({reason});
     }
     if (res.headersSent) {
@@ -358,7 +348,7 @@
     const needsKeyedReason = data.key !== undefined && !details.isKeyReason;
     const statedReason = needsKeyedReason
       ? refusalReasonForKey(reason, data.firstSend)
-      : reason;
+      : this.#reasonAfterRetries(reason);
     const {kind} = refusalDefinitions[statedReason];
     deps.metrics.increment('carobseam_refusals_total', {
       refusal: kind,
@@ -375,6 +365,11 @@
     this.#finish('refused');
   }
 
+  /** No refusal may promise `not-run` after an attempt that may have run. */
+  #reasonAfterRetries(reason: RefusalReason): RefusalReason {
+    return isOutcomeUnknown(reason) ? reason : (this.#unknownReason ?? reason);
+  }
+
   #refusalHeaders(details: {retried?: boolean}): OutgoingHttpHeaders {
     const {deps, data, isForwarded} = this.#options;
     const headers: OutgoingHttpHeaders = {
@@ -426,3 +421,7 @@
     this.#options.onFinished(this);
   }
 }
+
+function isOutcomeUnknown(reason: RefusalReason): boolean {
+  return refusalDefinitions[reason].kind === 'outcome-unknown';
+}
--- a/calls/proxy/test/call_server.test.ts
+++ b/calls/proxy/test/call_server.test.ts
@@ -221,6 +221,18 @@
     expect((await sendCall(a.port)).body).to.equal('ok');
   });
 
+  it('guards against not-run after an earlier attempt that may have run', async () => {
+    const bad = await harness.startRawUpstream(socket =>
+      setTimeout(() => socket.destroy(), 50),
+    );
+    const a = await harness.startDaemon(bad, {id: 'vm-a'});
+    const gone = makeEndpoint('vm-b', await unusedPort());
+    const call = sendCall(a.port);
+    await pause(20);
+    a.listWorkers(a.endpoint, gone);
+    expect(reasonOf(await call)).to.equal('outcome-unknown worker_failed');
+  });
+
   it('keeps waiting for a peer that still works on the call', async () => {
     const upstream = await harness.startUpstream((_req, res) => {
       setTimeout(() => res.end('slow'), 200);
