--- a/calls/proxy/src/call.ts
+++ b/calls/proxy/src/call.ts
@@ -5,7 +5,6 @@
 import {
   callHeaders,
   formatLoad,
-  parseLoad,
   refusalDefinitions,
   type RefusalReason,
 } from '@carobseam/calls.types';
@@ -22,21 +21,13 @@
 import {chooseOwner} from './choose_owner.js';
 import {PeerAttempt} from './peer_attempt.js';
 import {forwardResponse} from './forward_response.js';
+import {recordWorkerFailure} from './record_worker_failure.js';
+import {recordWorkerLoad} from './record_worker_load.js';
 import {sendRefusal} from './send_refusal.js';
 import {WorkerAttempt} from './worker_attempt.js';
 
 type Outcome = 'completed' | 'refused' | 'cancelled' | 'broken';
 
-/** Failures that count towards the outlier ejection of a worker. */
-const WORKER_FAILURES: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
-  'starting',
-  'worker_down',
-  'peer_unreachable',
-  'worker_failed',
-  'response_timeout',
-  'response_incomplete',
-  'owner_unreachable',
-]);
 const SHED_STATUS = 503;
 
 export interface CallOptions {
@@ -61,6 +52,11 @@
   #timer?: Timer;
   #attempt?: Attempt;
   #worker?: WorkerEndpoint;
+  /** Worker that is to replace the one that is silent. */
+  #reservedRetry?: WorkerEndpoint;
+  #isWorkerSilent = false;
+  /** First failure after which a worker may have run the request. */
+  #unknownReason?: RefusalReason;
   #retryCount = 0;
   #isFinished = false;
 
@@ -77,6 +73,11 @@
     return this.#options.isForwarded;
   }
 
+  /** Whether the worker has sent nothing within the first-byte timeout. */
+  get isWorkerSilent(): boolean {
+    return this.#isWorkerSilent;
+  }
+
   start(): void {
     const {deps, data, res, isForwarded} = this.#options;
     const {policy} = data.resolved;
@@ -98,7 +99,10 @@
 
   onResponse(response: IncomingMessage): void {
     const attempt = this.#attempt!;
-    this.#recordWorkerLoad(response);
+    this.#isWorkerSilent = false;
+    if (this.#worker) {
+      recordWorkerLoad(this.#options.deps, this.#worker, response.headers);
+    }
     if (this.#retryAfterShed(response)) {
       return;
     }
@@ -135,7 +139,8 @@
     }
     this.#attempt = undefined;
     this.#recordFailure(failure);
-    const worker = this.#chooseRetry(failure);
+    const worker = this.#reservedRetry ?? this.#chooseRetry(failure);
+    this.#reservedRetry = undefined;
     if (worker) {
       this.#retryCount++;
       this.#options.data.resent = true;
@@ -149,6 +154,12 @@
     });
   }
 
+  onSilent(): boolean {
+    this.#isWorkerSilent = true;
+    this.#reservedRetry = this.#chooseRetry({reason: 'response_timeout'});
+    return this.#reservedRetry !== undefined;
+  }
+
   #startFirstAttempt(): void {
     const {deps, data, isForwarded} = this.#options;
     if (this.#isFinished) {
@@ -186,7 +197,9 @@
     const workers = deps.blackboard.read('endpoints').get(service.name);
     return deps.loadBalancer.chooseWorker(workers, {
       allowOtherDataCentres: policy.allowOtherDataCentres,
-      triedVmIds: this.#triedVmIds,
+      triedVmIds: this.#worker
+        ? [...this.#triedVmIds, this.#worker.vmId]
+        : this.#triedVmIds,
     });
   }
 
@@ -216,27 +229,10 @@
     attempt.start();
   }
 
-  #recordWorkerLoad(response: IncomingMessage): void {
-    const {deps} = this.#options;
-    if (!this.#worker) {
-      return;
-    }
-    const {vmId} = this.#worker;
-    if (vmId === deps.vmId) {
-      deps.loadBalancer.reportLoad(vmId, deps.localWorker.admission.load());
-      return;
-    }
-    const load = parseLoad(response.headers[callHeaders.load]);
-    if (load) {
-      deps.loadBalancer.reportLoad(vmId, load);
-    }
-    if (response.headers[callHeaders.leaving] === '1') {
-      deps.loadBalancer.markLeaving(vmId);
-    }
-  }
-
   #recordFailure({reason, canRetrySameWorker}: AttemptFailure): void {
-    const {deps, data} = this.#options;
+    if (isOutcomeUnknown(reason)) {
+      this.#unknownReason ??= reason;
+    }
     const worker = this.#releaseWorker();
     if (!worker) {
       return;
@@ -244,13 +240,7 @@
     if (!canRetrySameWorker) {
       this.#triedVmIds.push(worker.vmId);
     }
-    if (reason === 'leaving') {
-      deps.loadBalancer.markLeaving(worker.vmId);
-    } else if (WORKER_FAILURES.has(reason)) {
-      const {name} = data.resolved.service;
-      const workers = deps.blackboard.read('endpoints').get(name);
-      deps.loadBalancer.recordFailure(worker.vmId, workers);
-    }
+    recordWorkerFailure(this.#options.deps, worker, reason);
   }
 
   #chooseRetry(failure: AttemptFailure): WorkerEndpoint | undefined {
@@ -282,6 +272,7 @@
       return false;
     }
     this.#triedVmIds.push(this.#worker.vmId);
+    this.#unknownReason ??= 'worker_shed';
     const worker = this.#chooseRetry({reason: 'worker_shed'});
     if (!worker) {
       return false;
@@ -338,7 +329,7 @@
     const {res} = this.#options;
     const reason = this.#attempt?.cancel() ?? 'deadline_exceeded';
     this.#attempt = undefined;
-    if (refusalDefinitions[reason].kind === 'outcome-unknown') {
+    if (isOutcomeUnknown(reason)) {
       this.#recordFailure({reason});
     }
     if (res.headersSent) {
@@ -357,7 +348,7 @@
     const needsKeyedReason = data.key !== undefined && !details.isKeyReason;
     const statedReason = needsKeyedReason
       ? refusalReasonForKey(reason, data.firstSend)
-      : reason;
+      : this.#reasonAfterRetries(reason);
     const {kind} = refusalDefinitions[statedReason];
     deps.metrics.increment('carobseam_refusals_total', {
       refusal: kind,
@@ -374,6 +365,11 @@
     this.#finish('refused');
   }
 
+  /** No refusal may promise `not-run` after an attempt that may have run. */
+  #reasonAfterRetries(reason: RefusalReason): RefusalReason {
+    return isOutcomeUnknown(reason) ? reason : (this.#unknownReason ?? reason);
+  }
+
   #refusalHeaders(details: {retried?: boolean}): OutgoingHttpHeaders {
     const {deps, data, isForwarded} = this.#options;
     const headers: OutgoingHttpHeaders = {
@@ -425,3 +421,7 @@
     this.#options.onFinished(this);
   }
 }
+
+function isOutcomeUnknown(reason: RefusalReason): boolean {
+  return refusalDefinitions[reason].kind === 'outcome-unknown';
+}
