fix(relay): one answered probe or an earlier silence does not end a hop

Callers could still get 502 while a worker ran their request: the start of a silence was never reset when bytes came, so a second silence was measured against a probe answered in the first one, and a single answered probe was taken as proof of a dead connection, although a starved relay may run for just long enough to answer it.

Each silence now starts anew, and a hop is dead only if its relay answers a second probe a second after the first without a byte on this connection. Three failed connects, not two, make a VM unreachable. Probes of VMs that cannot be connected back off as well, and a VM that left and came back is not probed twice.

Also: a worker's 500 after a denied retry is delivered at once although an earlier hop is silent (it became a 504 at the timeout), and a hedge takes from the budget only if there is a worker to send it to.

The tests 'a second silence' and 'replacing a worker's failure' failed before (unknown silent; timeout).

--- a/calls/relay/src/attempt.ts
+++ b/calls/relay/src/attempt.ts
@@ -18,7 +18,7 @@
 
 const SILENCE_INTERVAL_MS = 300; // half of the time until a hop counts as silent, so that a denied retry is tried again soon
 const SILENT_HOP_MS = 600; // the worker's relay sends an interim response every 200 ms; two may be late
-const DEAD_CONNECTION_MS = 1000; // a relay that answers probes sends an interim response well within this time
+const DEAD_CONNECTION_MS = 1000; // a relay that answers probes all the while sends an interim response within this time
 
 /** Options of `Attempt`. */
 export interface AttemptOptions {
@@ -42,7 +42,10 @@
   isHedged = false;
   readonly #options: AttemptOptions;
   #cancel: () => void = () => {};
-  #silentSinceMs?: number;
+  /** Start of the current silence of the hop, on the monotonic clock, in ms. */
+  #silentSinceMs = Infinity;
+  /** First answer of the relay to a probe in this silence, on the same clock. */
+  #firstAnswerMs = Infinity;
 
   constructor(options: AttemptOptions) {
     this.#options = options;
@@ -130,12 +133,13 @@
    */
   #handleSilence(silentMs: number): 'wait' | 'end' {
     const {context, request, onSilent} = this.#options;
-    const isFirst = this.#silentSinceMs === undefined;
-    this.#silentSinceMs ??= context.clock.monotonicMs();
+    const isFirst = silentMs === SILENT_HOP_MS;
     if (isFirst) {
+      this.#silentSinceMs = context.clock.monotonicMs();
+      this.#firstAnswerMs = Infinity;
       context.peerHealth.markDown(vmAddressOf(this.worker));
     }
-    if (request.route.isIdempotent && this.#isHopDead(this.#silentSinceMs)) {
+    if (request.route.isIdempotent && this.#isHopDead()) {
       return 'end';
     }
     onSilent(silentMs, isFirst);
@@ -144,16 +148,26 @@
 
   /**
    * Whether no response can come any more: the VM cannot be reached, or its
-   * relay responds on new connections but not on that of the attempt.
+   * relay has been responding on new connections for some time, but not on that
+   * of the attempt.
    */
-  #isHopDead(silentSinceMs: number): boolean {
+  #isHopDead(): boolean {
     const {clock, peerHealth} = this.#options.context;
     const vmAddress = vmAddressOf(this.worker);
-    const answeredMs = peerHealth.lastAnswerMs(vmAddress);
-    return (
-      peerHealth.isUnreachable(vmAddress) ||
-      (answeredMs >= silentSinceMs &&
-        clock.monotonicMs() - answeredMs >= DEAD_CONNECTION_MS)
-    );
+    if (peerHealth.isUnreachable(vmAddress)) {
+      return true;
+    }
+    const answerMs = peerHealth.lastAnswerMs(vmAddress);
+    if (answerMs < this.#silentSinceMs) {
+      return false;
+    }
+    this.#firstAnswerMs = Math.min(this.#firstAnswerMs, answerMs);
+    if (answerMs - this.#firstAnswerMs >= DEAD_CONNECTION_MS) {
+      return true;
+    }
+    if (clock.monotonicMs() - this.#firstAnswerMs >= DEAD_CONNECTION_MS) {
+      peerHealth.markDown(vmAddress); // probes it once more
+    }
+    return false;
   }
 }
--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -134,6 +134,9 @@
         this.#breakOff(request, response, outcome, times);
         return;
       }
+      if (response.destroyed) {
+        return;
+      }
       const status = dispatcher.mayHaveRun ? 504 : 503;
       this.#recordEnd(request, arrivedMs, outcome, {route: route.name, status});
       this.#refuse(response, status, []);
--- a/calls/relay/src/peer_health.ts
+++ b/calls/relay/src/peer_health.ts
@@ -3,9 +3,12 @@
 import {HEALTH_PROBE} from './health_probe.js';
 
 const PROBE_INTERVAL_MS = 300; // a restarted relay listens within a second
-const MAX_PROBE_INTERVAL_MS = 1200; // spares a relay that is overloaded
+const MAX_PROBE_INTERVAL_MS: Record<FailedProbe, number> = {
+  notConnected: 600, // finds a restarted relay soon
+  unanswered: 1200, // spares a relay that is overloaded
+};
 const PROBE_TIMEOUT_MS = 300; // a response from another data centre takes a few ms
-const UNREACHABLE_PROBES = 2; // a single SYN packet may be lost
+const UNREACHABLE_PROBES = 3; // SYN packets may be lost
 
 /** Options of `PeerHealth`. */
 export interface PeerHealthOptions {
@@ -29,8 +32,10 @@
   failedConnections: number;
 }
 
+type FailedProbe = 'unanswered' | 'notConnected';
+
 /** Result of one probe. */
-type ProbeResult = 'answered' | 'unanswered' | 'notConnected';
+type ProbeResult = 'answered' | FailedProbe;
 
 /**
  * Active health checks of the VMs that failed. A VM to which a request failed
@@ -76,12 +81,10 @@
     if (this.#isClosed || this.#down.has(vmAddress)) {
       return;
     }
-    this.#down.set(vmAddress, {
-      intervalMs: PROBE_INTERVAL_MS,
-      failedConnections: 0,
-    });
+    const vm = {intervalMs: PROBE_INTERVAL_MS, failedConnections: 0};
+    this.#down.set(vmAddress, vm);
     this.#options.onChange(vmAddress, 'down');
-    this.#probe(vmAddress);
+    this.#probe(vmAddress, vm);
   }
 
   /** Forgets the VMs that are not in the given set. */
@@ -111,7 +114,7 @@
     this.#down.delete(vmAddress);
   }
 
-  #probe(vmAddress: string): void {
+  #probe(vmAddress: string, vm: DownVm): void {
     let result: ProbeResult = 'notConnected';
     const request = http.request({
       host: vmAddress,
@@ -134,14 +137,13 @@
     request.on('error', () => {});
     request.on('close', () => {
       timer.cancel();
-      this.#handleProbeResult(vmAddress, result);
+      this.#handleProbeResult(vmAddress, vm, result);
     });
     request.end();
   }
 
-  #handleProbeResult(vmAddress: string, result: ProbeResult): void {
-    const vm = this.#down.get(vmAddress);
-    if (!vm) {
+  #handleProbeResult(vmAddress: string, vm: DownVm, result: ProbeResult): void {
+    if (this.#down.get(vmAddress) !== vm) {
       return;
     }
     if (result === 'answered') {
@@ -150,15 +152,11 @@
       this.#options.onChange(vmAddress, 'up');
       return;
     }
+    vm.failedConnections =
+      result === 'notConnected' ? vm.failedConnections + 1 : 0;
     vm.timer = this.#options.clock.setTimer(vm.intervalMs, () =>
-      this.#probe(vmAddress),
+      this.#probe(vmAddress, vm),
     );
-    if (result === 'notConnected') {
-      vm.failedConnections++;
-      vm.intervalMs = PROBE_INTERVAL_MS;
-    } else {
-      vm.failedConnections = 0;
-      vm.intervalMs = Math.min(MAX_PROBE_INTERVAL_MS, vm.intervalMs * 2);
-    }
+    vm.intervalMs = Math.min(MAX_PROBE_INTERVAL_MS[result], vm.intervalMs * 2);
   }
 }
--- a/calls/relay/src/request_dispatcher.ts
+++ b/calls/relay/src/request_dispatcher.ts
@@ -177,11 +177,8 @@
       this.#startAttempt();
       return;
     }
-    const isFinal =
-      result.outcome === 'answered' ||
-      result.response?.body instanceof Readable;
-    if (this.#attempts.size > 0 && !isFinal) {
-      return; // another attempt may still bring a better response
+    if (this.#attempts.size > 0 && step !== 'deliver') {
+      return; // another attempt may still bring a response
     }
     this.#settle(this.#finalResult(step, result));
   }
@@ -296,18 +293,21 @@
       reason: 'silent',
       waitMs: 0,
     });
-    const step = this.#decideNextStep(inputs);
+    const choice = this.#chooseWorker();
+    const step = choice ? this.#decideNextStep(inputs) : 'reportUnknown';
     attempt.isHedged = step === 'sendAgain';
     if (attempt.isHedged || isFirst) {
       this.#context.log.hopSilent({
         ...this.#describe(attempt),
         silentMs,
         outcome: attempt.isHedged ? 'hedged' : 'waiting',
-        retryDenied: this.#retryDenialAfter(step, inputs),
+        retryDenied: choice
+          ? this.#retryDenialAfter(step, inputs)
+          : this.#noWorkerReason(),
       });
     }
-    if (attempt.isHedged) {
-      this.#startAttempt();
+    if (choice && attempt.isHedged) {
+      void this.#makeAttempt(choice);
     }
   }
 }
--- a/calls/relay/test/peer_health.test.ts
+++ b/calls/relay/test/peer_health.test.ts
@@ -74,6 +74,7 @@
     expect(health.isUnreachable(VM)).to.equal(false);
     await waitForProbe();
     await waitForProbe();
+    await waitForProbe();
     expect(health.isUnreachable(VM)).to.equal(true);
     health.close();
   });
--- a/calls/relay/test/silent_hop.test.ts
+++ b/calls/relay/test/silent_hop.test.ts
@@ -33,22 +33,41 @@
   response =>
     setTimeout(() => response.destroy(), delayMs);
 
-function reply(response: http.ServerResponse, body: string): void {
+/** Is silent for 700 ms, alive until 1500 ms, silent again until 2300 ms. */
+const replyAfterTwoSilences: PeerHandler = (response, body) => {
+  for (const aliveMs of [700, 900, 1100, 1300, 1500]) {
+    setTimeout(() => response.writeProcessing(), aliveMs);
+  }
+  setTimeout(() => reply(response, body), 2300);
+};
+
+const failAfter =
+  (delayMs: number): PeerHandler =>
+  (response, body) =>
+    setTimeout(() => reply(response, body, 500), delayMs);
+
+const IDLE = {
+  running: 1,
+  slots: 4,
+  meanServiceMs: 100,
+  failureShare: 0,
+  isLeaving: false,
+  queued: [0, 0, 0, 0, 0],
+  serviceMs: [0, 0, 0, 0, 0],
+};
+
+function reply(
+  response: http.ServerResponse,
+  body: string,
+  status = 200,
+): void {
   const verdict = encodeHopResponse({
     verdict: 'answered',
-    reason: '200',
+    reason: String(status),
     retryAfterMs: 0,
-    load: {
-      running: 1,
-      slots: 4,
-      meanServiceMs: 100,
-      failureShare: 0,
-      isLeaving: false,
-      queued: [0, 0, 0, 0, 0],
-      serviceMs: [0, 0, 0, 0, 0],
-    },
+    load: IDLE,
   });
-  response.writeHead(200, {[hopHeaders.response]: verdict});
+  response.writeHead(status, {[hopHeaders.response]: verdict});
   response.end(body);
 }
 
@@ -240,14 +259,47 @@
   it('guards against holding a request on a connection that died without a reset', async () => {
     const handlers = [neverReply, neverReply];
     const clock = new SystemClock();
-    const answeredMs = clock.monotonicMs() + SLOW_MS;
     const startMs = clock.monotonicMs();
     await withDispatcher(
-      {handlers, lastAnswerMs: () => answeredMs},
+      {handlers, lastAnswerMs: () => clock.monotonicMs()},
       async ({dispatch}) => {
         expect(describeResult(await dispatch())).to.equal('unknown silent');
         expect(clock.monotonicMs() - startMs).to.be.below(TIMEOUT_MS / 1.5);
       },
     );
   });
+
+  it('guards against taking a connection for dead after a single probe was answered', async () => {
+    const handlers = [replyAfter(2500), neverReply];
+    const answeredMs = new SystemClock().monotonicMs() + SLOW_MS;
+    await withDispatcher(
+      {handlers, lastAnswerMs: () => answeredMs},
+      async ({dispatch}) => {
+        expect(describeResult(await dispatch())).to.equal('200 127.0.0.71');
+      },
+    );
+  });
+
+  it('guards against taking a second silence for a dead connection because of a probe answered in an earlier one', async () => {
+    const handlers = [replyAfterTwoSilences, neverReply];
+    const answeredMs = new SystemClock().monotonicMs() + 720;
+    await withDispatcher(
+      {handlers, lastAnswerMs: () => answeredMs},
+      async ({dispatch, peers}) => {
+        expect(describeResult(await dispatch())).to.equal('200 127.0.0.71');
+        expect(peers[0]!.cutCount()).to.equal(0);
+      },
+    );
+  });
+
+  it("guards against replacing a worker's failure by a timeout because an earlier hop is still silent", async () => {
+    const handlers = [neverReply, failAfter(50)];
+    await withDispatcher({handlers, retriesInBudget: 1}, async ({dispatch}) => {
+      const timeout = new Promise<DispatchResult>(resolve =>
+        setTimeout(resolve, TIMEOUT_MS, {kind: 'unknown', reason: 'timeout'}),
+      );
+      const result = await Promise.race([dispatch(), timeout]);
+      expect(describeResult(result)).to.equal('500 127.0.0.72');
+    });
+  });
 }).timeout(6000);
