fix(exchange): bound the memory of a small body in many chunks

Seen: a worker sends chunks of one byte with an extension of 1 KB each. The relay stores up to 256 times the limit of a buffered body, and the response begins only after 256 MB.

Cause: only the bytes of the body are counted, but each part of it keeps the whole read in memory that it arrived in.

Evidence: before, the new test ends with "pending" after 4 MB; after, the response is a stream, which back-pressure bounds.

The connection counts the bytes received, with those that frame the body, once for each read.

--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -18,8 +18,8 @@
   isWritten: boolean;
   isBodySent: boolean;
   head?: ResponseHead;
-  /** Bytes received before the head: interim and extra responses. */
-  skippedBytes: number;
+  /** All bytes received before the head, or after the read that completed it. */
+  receivedBytes: number;
   chunks: Buffer[];
   bytes: number;
   stream?: Readable;
@@ -91,7 +91,7 @@
       onResult,
       isWritten: false,
       isBodySent: false,
-      skippedBytes: 0,
+      receivedBytes: 0,
       chunks: [],
       bytes: 0,
     };
@@ -193,23 +193,24 @@
     try {
       this.#reader.read(chunk);
     } catch {
-      this.#fail(this.#parseFailureReason());
+      const isHead = !current.head && this.#reader.isHeadTooLarge;
+      this.#fail(isHead ? 'head_too_large' : 'malformed_response');
       return;
     }
+    current.receivedBytes += chunk.length;
     if (!current.head) {
-      current.skippedBytes += chunk.length;
-      if (current.skippedBytes > MAX_SKIPPED_BYTES) {
+      if (current.receivedBytes > MAX_SKIPPED_BYTES) {
         this.#fail('no_response_head');
       }
+    } else if (
+      current.receivedBytes > MAX_BUFFERED_BYTES &&
+      this.#current === current &&
+      !current.stream
+    ) {
+      this.#startStream(current);
     }
   }
 
-  #parseFailureReason(): FailureReason {
-    return !this.#current?.head && this.#reader.isHeadTooLarge
-      ? 'head_too_large'
-      : 'malformed_response';
-  }
-
   #onHead(head: ResponseHead): boolean {
     const current = this.#current;
     this.#isSkippingResponse = head.status < 200;
@@ -229,6 +230,7 @@
       return false;
     }
     current.head = head;
+    current.receivedBytes = 0;
     if (!head.isKeepAlive || !current.isBodySent) {
       this.#isReusable = false;
     }
--- a/calls/exchange/test/endless_response.test.ts
+++ b/calls/exchange/test/endless_response.test.ts
@@ -1,4 +1,8 @@
-import {ConnectionPool, type ExchangeResult} from '@carobseam/calls.exchange';
+import {
+  ConnectionPool,
+  type ExchangeRequest,
+  type ExchangeResult,
+} from '@carobseam/calls.exchange';
 import {SystemClock} from '@carobseam/core.clock';
 import {expect} from 'chai';
 import type net from 'node:net';
@@ -15,6 +19,14 @@
 const CHUNKED_HEAD = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
 const INTERIM = 'HTTP/1.1 102 Processing\r\n\r\n';
 
+const REQUEST: ExchangeRequest = {
+  method: 'GET',
+  url: '/',
+  headers: ['Host', 'a.example', 'X-Request-Id', 'a'],
+  body: Buffer.alloc(0),
+  requestId: 'a',
+};
+
 /** Writes `prefix` and then `part` again and again, without an end. */
 function flood(socket: net.Socket, prefix: string, part: string): void {
   const block = part.repeat(Math.ceil(16_384 / part.length));
@@ -32,10 +44,19 @@
   write();
 }
 
+function createPool(address: string): ConnectionPool {
+  return new ConnectionPool({
+    clock: new SystemClock(),
+    address,
+    connectTimeoutMs: 500,
+    idleTtlMs: 5000,
+    maxIdle: 4,
+    requestIdHeader: 'x-request-id',
+  });
+}
+
 interface Outcome {
   text: string;
-  /** Bytes that the worker could send. */
-  sentBytes: number;
   isWorkerSocketClosed: boolean;
 }
 
@@ -46,22 +67,9 @@
     workerSocket = socket;
     handle(socket, ...rest);
   });
-  const pool = new ConnectionPool({
-    clock: new SystemClock(),
-    address: worker.address,
-    connectTimeoutMs: 500,
-    idleTtlMs: 5000,
-    maxIdle: 4,
-    requestIdHeader: 'x-request-id',
-  });
+  const pool = createPool(worker.address);
   try {
-    const exchange = pool.exchange({
-      method: 'GET',
-      url: '/',
-      headers: ['Host', 'a.example', 'X-Request-Id', 'a'],
-      body: Buffer.alloc(0),
-      requestId: 'a',
-    });
+    const exchange = pool.exchange(REQUEST);
     const text = await Promise.race([
       exchange.result.then(describeResult),
       pause(PENDING_AFTER_MS).then(() => 'pending'),
@@ -69,7 +77,6 @@
     await pause(20);
     return {
       text,
-      sentBytes: workerSocket!.bytesWritten,
       isWorkerSocketClosed: workerSocket!.destroyed,
     };
   } finally {
@@ -208,24 +215,29 @@
     expect(outcome.text).to.equal('200 broken off');
   });
 
+  it('guards against storing a body whose chunk extensions are larger than its data', async () => {
+    const worker = await startRawWorker(socket =>
+      flood(socket, CHUNKED_HEAD, `1;${'x'.repeat(1000)}\r\nx\r\n`),
+    );
+    const pool = createPool(worker.address);
+    const exchange = pool.exchange(REQUEST);
+    const isStreamed = await Promise.race([
+      exchange.result.then(
+        result => result.kind === 'response' && result.body instanceof Readable,
+      ),
+      pause(PENDING_AFTER_MS).then(() => 'pending'),
+    ]);
+    pool.close();
+    await worker.close();
+    expect(isStreamed).to.equal(true);
+  });
+
   it('guards against reading a body without end that nobody takes', async () => {
     const worker = await startRawWorker(socket =>
       flood(socket, BODY_HEAD, 'x'),
     );
-    const pool = new ConnectionPool({
-      clock: new SystemClock(),
-      address: worker.address,
-      connectTimeoutMs: 500,
-      idleTtlMs: 5000,
-      maxIdle: 4,
-      requestIdHeader: 'x-request-id',
-    });
-    const exchange = pool.exchange({
-      method: 'GET',
-      url: '/',
-      headers: ['Host', 'a.example'],
-      body: Buffer.alloc(0),
-    });
+    const pool = createPool(worker.address);
+    const exchange = pool.exchange(REQUEST);
     const result = await exchange.result;
     await pause(100);
     const {body} = result as {body: Readable};
