fix(http-get): end a request whose interim responses have no end

Seen: a store or peer that sends 102 responses without end keeps the relay busy reading them until the timeout, which for a watch includes its wait.

Cause: Node.js ignores interim responses and has no limit for them.

Heads, trailers, chunk extensions and bodies have limits already.

--- a/core/http_get/src/http_get.ts
+++ b/core/http_get/src/http_get.ts
@@ -1,6 +1,8 @@
 import {splitAddress} from '@carobseam/core.net';
 import http from 'node:http';
 
+const MAX_INTERIM_RESPONSES = 100; // the servers that are read send none
+
 /** Options of `httpGet`. */
 export interface HttpGetOptions {
   /** IP address and port. */
@@ -57,5 +59,12 @@
       timeoutMs,
     );
     request.on('error', fail);
+    let interimResponses = 0;
+    request.on('information', () => {
+      interimResponses++;
+      if (interimResponses > MAX_INTERIM_RESPONSES) {
+        fail(new Error(`more than ${MAX_INTERIM_RESPONSES} interim responses`));
+      }
+    });
   });
 }
--- a/core/http_get/test/http_get.test.ts
+++ b/core/http_get/test/http_get.test.ts
@@ -52,4 +52,18 @@
       response.end('x'.repeat(2000));
     expect(await getFromServer(large)).to.equal('response exceeds 1000 bytes');
   });
+
+  it('guards against interim responses without end', async () => {
+    const flood = (response: http.ServerResponse) => {
+      const {socket} = response;
+      const timer = setInterval(
+        () => socket!.write('HTTP/1.1 102 Processing\r\n\r\n'.repeat(500)),
+        2,
+      );
+      socket!.once('close', () => clearInterval(timer));
+    };
+    expect(await getFromServer(flood)).to.equal(
+      'more than 100 interim responses',
+    );
+  });
 });
