--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -19,7 +19,7 @@
   isBodySent: boolean;
   head?: ResponseHead;
   /** All bytes received before the head, or after the read that completed it. */
-  receivedBytes: number;
+  sectionBytes: number;
   chunks: Buffer[];
   bytes: number;
   receivedBytes: number;
@@ -99,7 +99,7 @@
       onResult,
       isWritten: false,
       isBodySent: false,
-      receivedBytes: 0,
+      sectionBytes: 0,
       chunks: [],
       bytes: 0,
       silentIntervals: 0,
@@ -213,13 +213,13 @@
       this.#fail(isHead ? 'head_too_large' : 'malformed_response');
       return;
     }
-    current.receivedBytes += chunk.length;
+    current.sectionBytes += chunk.length;
     if (!current.head) {
-      if (current.receivedBytes > MAX_SKIPPED_BYTES) {
+      if (current.sectionBytes > MAX_SKIPPED_BYTES) {
         this.#fail('no_response_head');
       }
     } else if (
-      current.receivedBytes > MAX_BUFFERED_BYTES &&
+      current.sectionBytes > MAX_BUFFERED_BYTES &&
       this.#current === current &&
       !current.stream
     ) {
@@ -249,7 +249,7 @@
       return false;
     }
     current.head = head;
-    current.receivedBytes = 0;
+    current.sectionBytes = 0;
     if (!head.isKeepAlive || !current.isBodySent) {
       this.#isReusable = false;
     }
--- a/calls/relay/src/attempt.ts
+++ b/calls/relay/src/attempt.ts
@@ -1,4 +1,4 @@
-import {headerValue} from '@carobseam/calls.exchange';
+import {discardResponse, headerValue} from '@carobseam/calls.exchange';
 import {vmAddressOf, type MeshWorker} from '@carobseam/config.mesh';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import {
@@ -119,6 +119,9 @@
     const hopResponse = decodeHopResponse(
       headerValue(result.headers, hopHeaders.response),
     );
+    if (hopResponse?.verdict !== 'answered') {
+      discardResponse(result);
+    }
     if (!hopResponse) {
       return {outcome: 'unknown', reason: 'noVerdict', waitMs: 0};
     }
--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -180,6 +180,11 @@
    */
   closeExpired(): void {
     this.#pool.closeExpired();
+    // After a delay of the event loop, timers run before received data is read.
+    setImmediate(() => this.#endExpired());
+  }
+
+  #endExpired(): void {
     const expiredMs = this.#options.clock.monotonicMs() - EXCHANGE_GRACE_MS;
     for (const pending of this.#running) {
       if (pending.expiresAtMs < expiredMs) {
