fix(relay): send a consumed request body to no second worker

Workers ran requests with a body of over 256 KB that had no body (UNASKED): such a body is streamed and not kept. The relay knew this for failures and unknown outcomes, but after a refusal or a rejection by the first worker, as its relay had read the stream, it sent the headers and 0 bytes to the next.

decideNextStep has a new input, canResend, without which there is no further attempt. The dispatcher sets it to false once the stream has been read from; after a failed connect the stream is untouched and another worker gets it. The refusal stays true: a worker or relay stated that nothing ran.

--- a/calls/placement/src/decide_next_step.ts
+++ b/calls/placement/src/decide_next_step.ts
@@ -15,6 +15,8 @@
 export interface StepInputs {
   outcome: AttemptOutcome;
   isIdempotent: boolean;
+  /** False after a streamed request body was consumed, even in part. */
+  canResend: boolean;
   /** Attempts that reached or may have reached a worker. */
   sentAttempts: number;
   maxAttempts: number;
@@ -43,6 +45,8 @@
 /** Why a request was not sent again. */
 export type RetryDenial =
   | 'notIdempotent'
+  /** The request body was streamed and is not kept. */
+  | 'bodyConsumed'
   /** As many attempts were made as are allowed. */
   | 'attempts'
   | 'time'
@@ -70,6 +74,9 @@
   if (!inputs.isIdempotent && (outcome === 'failed' || outcome === 'unknown')) {
     return 'notIdempotent';
   }
+  if (!inputs.canResend) {
+    return 'bodyConsumed';
+  }
   const isLastAttempt =
     outcome === 'notSent'
       ? inputs.unsentAttempts >= MAX_UNSENT_ATTEMPTS
@@ -86,6 +93,7 @@
     inputs.isIdempotent && canRetry(inputs) ? 'sendAgain' : 'deliver',
   notSent: inputs => {
     const canTryAnother =
+      inputs.canResend &&
       inputs.unsentAttempts < MAX_UNSENT_ATTEMPTS &&
       inputs.expiresInMs > MIN_REMAINING_MS;
     return canTryAnother ? 'sendAgain' : giveUp(inputs);
@@ -101,6 +109,7 @@
 
 function canRetry(inputs: StepInputs): boolean {
   return (
+    inputs.canResend &&
     inputs.sentAttempts < inputs.maxAttempts &&
     inputs.expiresInMs > MIN_REMAINING_MS &&
     inputs.takeRetry()
--- a/calls/placement/test/decide_next_step.test.ts
+++ b/calls/placement/test/decide_next_step.test.ts
@@ -10,6 +10,7 @@
   return decideNextStep({
     outcome: 'answered',
     isIdempotent: true,
+    canResend: true,
     sentAttempts: 1,
     maxAttempts: 2,
     mayHaveRun: false,
@@ -64,6 +65,26 @@
       {outcome: 'notSent', expiresInMs: 10},
       'refuse',
     ],
+    [
+      'guards against sending a consumed body to a second worker after a refusal',
+      {outcome: 'notSent', canResend: false},
+      'refuse',
+    ],
+    [
+      'guards against sending a consumed body to a second worker after a rejection',
+      {outcome: 'rejected', canResend: false},
+      'refuse',
+    ],
+    [
+      'never sends a consumed body again after a failure',
+      {outcome: 'failed', canResend: false},
+      'deliver',
+    ],
+    [
+      'reports an unknown outcome of a consumed body as unknown',
+      {outcome: 'unknown', canResend: false},
+      'reportUnknown',
+    ],
   ];
   for (const [name, inputs, expected] of cases) {
     it(name, () => expect(decide(inputs)).to.equal(expected));
@@ -83,6 +104,7 @@
   const inputs = {
     outcome: 'unknown',
     isIdempotent: true,
+    canResend: true,
     sentAttempts: 1,
     maxAttempts: 2,
     mayHaveRun: false,
@@ -93,6 +115,8 @@
     [{}, 'budget'],
     [{isIdempotent: false}, 'notIdempotent'],
     [{outcome: 'rejected', isIdempotent: false}, 'budget'],
+    [{canResend: false}, 'bodyConsumed'],
+    [{outcome: 'notSent', canResend: false}, 'bodyConsumed'],
     [{sentAttempts: 2}, 'attempts'],
     [{outcome: 'notSent', unsentAttempts: 3}, 'attempts'],
     [{outcome: 'notSent', expiresInMs: 10}, 'time'],
--- a/calls/relay/src/request_dispatcher.ts
+++ b/calls/relay/src/request_dispatcher.ts
@@ -139,6 +139,7 @@
         route.isIdempotent &&
         !(body instanceof Readable) &&
         !(result.response?.body instanceof Readable),
+      canResend: !(body instanceof Readable && Readable.isDisturbed(body)),
       sentAttempts: this.#sentAttempts,
       maxAttempts: route.maxAttempts,
       mayHaveRun: this.#mayHaveRun,
--- a/calls/relay/test/load_simulator.ts
+++ b/calls/relay/test/load_simulator.ts
@@ -261,6 +261,7 @@
     const step = decideNextStep({
       outcome: 'notSent',
       isIdempotent: true,
+      canResend: true,
       sentAttempts: 0,
       maxAttempts: 2,
       mayHaveRun: false,
