fix(placement): keep an expired load report instead of assuming an idle worker

A draining relay was chosen again every 2 s.

Cause: a report older than 2 s was dropped, so the worker was estimated at the default service time with no queue, no failures and not leaving. The slower a worker responded, the more often it looked idle.

An expired report now remains in use. Its service times, failure share and isLeaving are kept; its running and queued requests count as at most one full set of slots; a worker that was idle when last seen stays cheap. To find a worker that has recovered, or whose relay was restarted with its entry unchanged, an expired report that keeps requests away counts as unknown load: up to 5% of the requests may try the worker, one at a time from each relay, also if it was failing or leaving, but not if it is unreachable or its entry says that it is leaving. Writing the entry again clears a reported isLeaving at once. clearAddressStale is renamed to recordEntryWritten, as it now does both.

Tests before the fix: 'expected 200 to be at least 1500' and 'expected false to equal true' in worker_loads.test.ts. The number of estimates for a choice is unchanged.

--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -290,7 +290,7 @@
         coldRemainingMs: worker.coldRemainingMs,
         revision,
       });
-      this.#workerLoads.clearAddressStale(worker.id);
+      this.#workerLoads.recordEntryWritten(worker.id);
     } else {
       log.logger.info(
         change.kind === 'workerRemoved' ? 'worker_removed' : 'removal_held',
