fix(http_get): read a response that has arrived before timing out

A relay that was short of processor time took its store (1 s) or the reader that it follows (600 ms) for lost although the response was already in its socket.

Cause: after a delay of the event loop, Node.js runs the timers that are due before it reads sockets, so the timeout fired first and closed the connection.

The timeout now takes effect after the sockets were read once, as in calls/exchange. A server that does not respond still times out as before.

Test before the fix: 'expected no response within 100 ms to equal 200 body'.

--- a/core/http_get/src/http_get.ts
+++ b/core/http_get/src/http_get.ts
@@ -29,6 +29,7 @@
   const {path, agent = false, timeoutMs, maxBytes} = options;
   const {host, port} = splitAddress(options.address);
   return new Promise((resolve, reject) => {
+    let isComplete = false;
     const fail = (error: Error) => {
       clearTimeout(timer);
       request.destroy();
@@ -45,6 +46,7 @@
         }
       });
       response.on('end', () => {
+        isComplete = true;
         clearTimeout(timer);
         const status = response.statusCode ?? 0;
         resolve({status, body: Buffer.concat(chunks)});
@@ -52,10 +54,13 @@
       response.on('error', fail);
       response.on('aborted', () => fail(new Error('response was incomplete')));
     });
-    const timer = setTimeout(
-      () => fail(new Error(`no response within ${timeoutMs} ms`)),
-      timeoutMs,
-    );
+    const handleTimeout = () => {
+      if (!isComplete) {
+        fail(new Error(`no response within ${timeoutMs} ms`));
+      }
+    };
+    // After a delay of the event loop, timers run before sockets are read.
+    const timer = setTimeout(() => setImmediate(handleTimeout), timeoutMs);
     request.on('error', fail);
   });
 }
--- a/core/http_get/test/http_get.test.ts
+++ b/core/http_get/test/http_get.test.ts
@@ -52,4 +52,16 @@
       response.end('x'.repeat(2000));
     expect(await getFromServer(large)).to.equal('response exceeds 1000 bytes');
   });
+
+  it('guards against taking a delay of the own event loop for a server that does not respond', async () => {
+    const result = getFromServer(response => {
+      response.end('body');
+      // The response is in the socket before the timer is due, but not read.
+      setImmediate(() => {
+        const endMs = Date.now() + 250;
+        while (Date.now() < endMs);
+      });
+    });
+    expect(await result).to.equal('200 body');
+  });
 });
