--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -7,31 +7,15 @@
   type ExchangeResult,
   type FailureReason,
 } from './exchange_types.js';
+import {
+  createPendingExchange,
+  type PendingExchange,
+} from './pending_exchange.js';
 import {ResponseReader, type ResponseHead} from './response_reader.js';
 
 const MAX_BUFFERED_BYTES = 256 * 1024; // eight times the size of the largest usual body; larger ones are streamed
 const MAX_SKIPPED_BYTES = 1024 * 1024; // one large extra response; interim responses of a relay take 8 KB a minute
 
-interface PendingExchange {
-  request: ExchangeRequest;
-  onResult: (result: ExchangeResult) => void;
-  isWritten: boolean;
-  isBodySent: boolean;
-  head?: ResponseHead;
-  /** All bytes received before the head, or after the read that completed it. */
-  sectionBytes: number;
-  chunks: Buffer[];
-  bytes: number;
-  receivedBytes: number;
-  receivedInterims: number;
-  /** When the request was written or the last byte was received. */
-  lastActiveMs?: number;
-  stream?: Readable;
-  silenceTimer?: NodeJS.Timeout;
-  /** Reports of silence since the last received byte. */
-  silentIntervals: number;
-}
-
 /** Options of `HttpConnection`. */
 export interface HttpConnectionOptions {
   host: string;
@@ -94,18 +78,7 @@
     request: ExchangeRequest,
     onResult: (result: ExchangeResult) => void,
   ): void {
-    this.#current = {
-      request,
-      onResult,
-      isWritten: false,
-      isBodySent: false,
-      sectionBytes: 0,
-      chunks: [],
-      bytes: 0,
-      silentIntervals: 0,
-      receivedBytes: 0,
-      receivedInterims: 0,
-    };
+    this.#current = createPendingExchange(request, onResult);
     if (this.#isConnected) {
       this.#write(this.#current);
     }
--- a/core/http_get/test/http_get.test.ts
+++ b/core/http_get/test/http_get.test.ts
@@ -66,4 +66,16 @@
       'more than 100 interim responses',
     );
   });
+
+  it('guards against taking a delay of the own event loop for a server that does not respond', async () => {
+    const result = getFromServer(response => {
+      response.end('body');
+      // The response is in the socket before the timer is due, but not read.
+      setImmediate(() => {
+        const endMs = Date.now() + 250;
+        while (Date.now() < endMs);
+      });
+    });
+    expect(await result).to.equal('200 body');
+  });
 });
