perf(metrics): load only the metric types of prom-client

What it cost: the main module of prom-client also loads the default metrics, the push gateway, HTTPS, TLS and the cluster module, which no process here uses. Each start of a relay ran that code.

Change: the four classes are imported from their own files. The package declares no exports map, and the exact pin keeps the paths valid.

The tests of core/metrics and daemon/relay pass, and the bundle exposes its metrics over HTTP.

--- a/core/metrics/src/metrics.ts
+++ b/core/metrics/src/metrics.ts
@@ -1,4 +1,8 @@
-import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+// The main module also loads the default metrics and HTTPS, which delays each start.
+import Counter from 'prom-client/lib/counter.js';
+import Gauge from 'prom-client/lib/gauge.js';
+import Histogram from 'prom-client/lib/histogram.js';
+import Registry from 'prom-client/lib/registry.js';
 import {callMetrics} from './call_metrics.js';
 import {configMetrics} from './config_metrics.js';
 import {fleetMetrics} from './fleet_metrics.js';
