fix(soak): end the relays and the process with the soak

A soak that got SIGINT or SIGTERM left its relays, some of them paused, because only an exit kills them. One run with 100 relays on a machine with a load above 30 printed its result and did not end; three later runs with 30 and 100 relays did not repeat it, and its cause is not known. The soak now exits once it has printed its result, and on both signals.

Evidence: 1 s after SIGTERM in a run of 8 relays no relay listens any more.

--- a/testing/soak/src/bin.ts
+++ b/testing/soak/src/bin.ts
@@ -48,7 +48,11 @@
       progress: line => console.error(line),
     });
     console.log(JSON.stringify(result));
-    process.exitCode = result.broken.length > 0 ? 1 : 0;
+    process.exit(result.broken.length > 0 ? 1 : 0);
   });
 
+// An exit, unlike the end by a signal, kills the relays.
+for (const signal of ['SIGINT', 'SIGTERM']) {
+  process.once(signal, () => process.exit(1));
+}
 await program.parseAsync();
