--- a/calls/proxy/test/call_server.test.ts
+++ b/calls/proxy/test/call_server.test.ts
@@ -1,3 +1,4 @@
+import type {VmId} from '@carobseam/core.types';
 import {expect} from 'chai';
 import {
   makeEndpoint,
@@ -244,6 +245,25 @@
     expect((await sendCall(a.port)).body).to.equal('slow');
   });
 
+  it('guards against breaking off a call because its peer is short of processor time', async () => {
+    const peerPort = await harness.startUpstream((_req, res) => {
+      setTimeout(() => res.end('late'), 1500);
+    });
+    const policy = {firstByteTimeoutMs: 50, timeoutMs: 5000};
+    const a = await harness.startDaemon(1, {id: 'vm-a', policy});
+    a.listWorkers({...a.endpoint, vmId: 'vm-b' as VmId, callersPort: peerPort});
+    expect((await sendCall(a.port)).body).to.equal('late');
+  }).timeout(6000);
+
+  it('guards against breaking off a call that the worker needs longer for than the first-byte timeout', async () => {
+    const upstream = await harness.startUpstream((_req, res) => {
+      setTimeout(() => res.end('slow'), 200);
+    });
+    const policy = {firstByteTimeoutMs: 50};
+    const a = await harness.startDaemon(upstream, {id: 'vm-a', policy});
+    expect((await sendCall(a.port)).body).to.equal('slow');
+  });
+
   it('guards against ending a call before its deadline because of a slow worker', async () => {
     const slow = await harness.startUpstream((_req, res) => {
       setTimeout(() => res.end('slow'), 200);
