--- a/cli/carobseam/src/explain_request.ts
+++ b/cli/carobseam/src/explain_request.ts
@@ -67,7 +67,8 @@
   no_response_head:
     'interim responses or extra responses to other requests had no end',
   noVerdict: 'the relay of the worker did not say what became of it',
-  silent: 'the VM of the worker sent nothing for 600 ms',
+  silent:
+    'the VM of the worker sent nothing, and no response could come any more',
   unprovenRefusal: 'the worker refused without stating that it ran nothing',
   unsealed: 'the response was not signed by the worker',
 };
