fix(soak): restart a relay that SIGHUP ended before it was ready

The platform restarts a process that ends; the soak did not, so the VM stayed without a relay. The check of recovery stays as it is.

--- a/testing/soak/src/soak_faults.ts
+++ b/testing/soak/src/soak_faults.ts
@@ -102,11 +102,17 @@
   }
 };
 
-const reload: VmFault = async (vm, {random}) => {
+const reload: VmFault = async (vm, context) => {
   const process = vm.process!;
   for (let count = 0; count < RELOADS; count++) {
     process.signal('SIGHUP');
-    await pause(between(random, 0, MAX_RELOAD_GAP_MS));
+    await pause(between(context.random, 0, MAX_RELOAD_GAP_MS));
+  }
+  // SIGHUP ends a process that has not installed its handler yet. The platform
+  // restarts processes that end.
+  if (process.endSignal === 'SIGHUP') {
+    vm.cutMs = performance.now();
+    await restart(vm, context);
   }
 };
 
