revert: fix(placement): keep an expired load report instead of assuming an idle worker

Failing and full workers were avoided for longer, and up to 5% of the requests went to try them.

The fault, an expired report that counts as idle, is milder since a silent VM is down until its relay responds.

--- a/calls/placement/src/choose_worker.ts
+++ b/calls/placement/src/choose_worker.ts
@@ -6,7 +6,7 @@
 const CROSS_DATA_CENTRE_COST_SHARE = 0.2; // of the target latency, for the traffic between data centres and the load on the other one
 const COLD_PENALTY_SHARE = 0.5; // a cold (recently started) worker takes about twice as long
 const JITTER_SHARE = 0.1; // so that relays with the same load reports do not all choose the same worker
-const FIRST_TRY_SHARE = 0.05; // of the requests go to workers of unknown load, so that the load of a new worker is known within a second and one that recovered is used again
+const FIRST_TRY_SHARE = 0.05; // of the requests go to workers of unknown load, so that the load of a new worker is known within a second
 const MAX_FAILURE_SHARE = 0.3; // above it a worker is used only as a last resort
 
 /** Options of `chooseWorker`. */
@@ -37,8 +37,7 @@
   expectedMs: number;
   isLastResort: boolean;
   isFull: boolean;
-  /** Whether the request may find out the worker's load. */
-  isFirstTry: boolean;
+  isLoadUnknown: boolean;
 }
 
 /**
@@ -57,9 +56,9 @@
   const {workers, triedWorkerIds, random, dataCentre} = options;
   const untried = workers.filter(worker => !triedWorkerIds.has(worker.id));
   if (random.nextFloat() < FIRST_TRY_SHARE) {
-    const unknownLoad = untried
-      .map(worker => toCandidate(worker, options))
-      .filter(({isFirstTry}) => isFirstTry);
+    const unknownLoad = preferredCandidates(untried, options).filter(
+      ({isLoadUnknown}) => isLoadUnknown,
+    );
     if (unknownLoad.length > 0) {
       return toChoice(
         unknownLoad[random.nextInt(unknownLoad.length)]!,
@@ -120,14 +119,15 @@
     worker.coldRemainingMs > 0 ? load.serviceMs * COLD_PENALTY_SHARE : 0;
   // A failed response counts as if it took the whole target latency.
   const failureMs = load.failureShare * options.targetLatencyMs;
-  const isUnreachable = options.isUnreachable(worker);
   return {
     worker,
     expectedMs: load.waitMs + load.serviceMs + coldMs + failureMs,
     isFull: load.isFull,
-    isFirstTry: load.isLoadUnknown && !isUnreachable,
+    isLoadUnknown: load.isLoadUnknown,
     isLastResort:
-      load.isLeaving || load.failureShare > MAX_FAILURE_SHARE || isUnreachable,
+      load.isLeaving ||
+      load.failureShare > MAX_FAILURE_SHARE ||
+      options.isUnreachable(worker),
   };
 }
 
--- a/calls/placement/src/worker_loads.ts
+++ b/calls/placement/src/worker_loads.ts
@@ -2,7 +2,7 @@
 import type {WorkerLoad} from '@carobseam/calls.worker_queue';
 import type {Clock} from '@carobseam/core.types';
 
-const REPORT_TTL_MS = 2000; // a full queue is served several times within it, so an older report says little about the queue
+const REPORT_TTL_MS = 2000; // a full queue is served several times within it, so an older report says little
 const DEFAULT_SERVICE_MS = 200; // mean of the work times in the users' specification
 const CONTENTION_THRESHOLD = 0.8; // share of busy slots above which requests of several relays compete for the same slots
 const CONTENTION_COST_SHARE = 0.2; // of the service time, when all slots are busy
@@ -30,10 +30,7 @@
   failureShare: number;
   /** Whether it has just refused a request of the same priority class. */
   isFull: boolean;
-  /**
-   * Whether a request should find out the worker's load: none was reported yet,
-   * or the last report has expired and would keep requests away.
-   */
+  /** Whether no load of the worker has been reported yet. */
   isLoadUnknown: boolean;
   isLeaving: boolean;
 }
@@ -82,18 +79,11 @@
     this.#stateOf(id).isAddressStale = true;
   }
 
-  /**
-   * Records that the worker's entry was written again. This clears the stale
-   * mark and a reported `isLeaving`.
-   */
-  recordEntryWritten(id: WorkerId): void {
+  /** Clears the stale mark once the worker's entry was written again. */
+  clearAddressStale(id: WorkerId): void {
     const state = this.#byWorker.get(id);
-    if (!state) {
-      return;
-    }
-    state.isAddressStale = false;
-    if (state.report?.isLeaving) {
-      state.report = {...state.report, isLeaving: false};
+    if (state) {
+      state.isAddressStale = false;
     }
   }
 
@@ -102,41 +92,44 @@
   }
 
   /**
-   * Estimates the latency of a request at a worker. An expired report remains
-   * in use, so that a loaded worker does not look idle when it falls silent.
+   * Estimates the latency of a request at a worker.
    *
    * @param priorityClass class of the request in the worker's queue.
    */
   estimate(worker: MeshWorker, priorityClass: number): LoadEstimate {
-    const nowMs = this.#clock.monotonicMs();
     const state = this.#byWorker.get(worker.id);
-    const report = state?.report;
-    const isExpired = !state || nowMs - state.reportedMs >= REPORT_TTL_MS;
+    const report = this.#freshReport(state);
+    const ownInFlight = state?.ownInFlight ?? 0;
     const meanMs = report?.meanServiceMs ?? DEFAULT_SERVICE_MS;
-    const busy = state
-      ? countBusy(state, {isExpired, slots: worker.slots, priorityClass})
-      : 0;
+    const busy = report
+      ? report.running +
+        countAhead(report.queued, priorityClass) +
+        ownInFlight -
+        state!.ownInFlightAtReport
+      : ownInFlight;
     const waitRounds = Math.max(0, busy + 1 - worker.slots) / worker.slots;
-    // Requests to a nearly full worker may have to wait for a moment.
-    const waitMs =
-      waitRounds * meanMs + contentionMs(busy, worker.slots, meanMs);
-    const serviceMs = report?.serviceMs[priorityClass] || meanMs;
-    const failureShare = report?.failureShare ?? 0;
-    const isLeavingByEntry = worker.isLeaving || state?.isAddressStale === true;
-    const isLeaving = isLeavingByEntry || report?.isLeaving === true;
-    const isAvoided =
-      isLeaving || failureShare > 0 || waitMs + serviceMs > DEFAULT_SERVICE_MS;
-    const isWorthRetry = isExpired && isAvoided && state?.ownInFlight === 0;
     return {
-      waitMs,
-      serviceMs,
-      failureShare,
-      isLoadUnknown: !isLeavingByEntry && (!report || isWorthRetry),
-      isFull: (state?.fullUntilMs[priorityClass] ?? 0) > nowMs,
-      isLeaving,
+      // Requests to a nearly full worker may have to wait for a moment.
+      waitMs: waitRounds * meanMs + contentionMs(busy, worker.slots, meanMs),
+      serviceMs: report?.serviceMs[priorityClass] || meanMs,
+      failureShare: report?.failureShare ?? 0,
+      isLoadUnknown: state?.report === undefined,
+      isFull:
+        (state?.fullUntilMs[priorityClass] ?? 0) > this.#clock.monotonicMs(),
+      isLeaving:
+        worker.isLeaving ||
+        state?.isAddressStale === true ||
+        report?.isLeaving === true,
     };
   }
 
+  #freshReport(state: WorkerState | undefined): WorkerLoad | undefined {
+    const isFresh =
+      state?.report &&
+      this.#clock.monotonicMs() - state.reportedMs < REPORT_TTL_MS;
+    return isFresh ? state.report : undefined;
+  }
+
   #stateOf(id: WorkerId): WorkerState {
     let state = this.#byWorker.get(id);
     if (!state) {
@@ -153,31 +146,6 @@
   }
 }
 
-interface BusyCountOptions {
-  isExpired: boolean;
-  slots: number;
-  priorityClass: number;
-}
-
-/**
- * Counts the requests at a worker that are served before a new one. Those of an
- * expired report count as at most one full set of busy slots.
- */
-function countBusy(state: WorkerState, options: BusyCountOptions): number {
-  const {report, ownInFlight, ownInFlightAtReport} = state;
-  if (!report) {
-    return ownInFlight;
-  }
-  const reported =
-    report.running + countAhead(report.queued, options.priorityClass);
-  const newOwn = ownInFlight - ownInFlightAtReport;
-  if (!options.isExpired) {
-    return reported + newOwn;
-  }
-  const remaining = Math.min(reported, options.slots);
-  return Math.max(ownInFlight, remaining + Math.max(0, newOwn));
-}
-
 function contentionMs(busy: number, slots: number, serviceMs: number): number {
   const share = Math.min(1, busy / slots);
   const excess =
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -289,7 +289,7 @@
         coldRemainingMs: worker.coldRemainingMs,
         revision,
       });
-      this.#workerLoads.recordEntryWritten(worker.id);
+      this.#workerLoads.clearAddressStale(worker.id);
     } else {
       log.logger.info(
         change.kind === 'workerRemoved' ? 'worker_removed' : 'removal_held',
