feat(relay): log and measure what a worker states about itself

Change: every head that the gate's exchanges receive, also of interim and of broken-off responses, is passed to WorkerStatements, and each change is logged as worker_statement and shown in carobseam_relay_worker_rate_limit. No decision uses it yet.

--- a/calls/exchange/src/exchange_types.ts
+++ b/calls/exchange/src/exchange_types.ts
@@ -12,6 +12,11 @@
    * request.
    */
   requestId?: string;
+  /**
+   * Called for each head received during the exchange, also of interim responses
+   * and of a response that is broken off later.
+   */
+  onHead?: (head: ReceivedHead) => void;
   /** Observes the silence of the server; without it, silence has no effect. */
   silenceWatch?: SilenceWatch;
   /**
@@ -21,6 +26,9 @@
   needsNewConnection?: boolean;
 }
 
+/** Status and headers of a response; the headers alternate names and values. */
+export type ReceivedHead = Pick<ExchangeResponse, 'status' | 'headers'>;
+
 /** Observes that the server sends nothing while a response is expected. */
 export interface SilenceWatch {
   /** Time without a received byte after which each report is made, in ms. */
--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -205,6 +205,7 @@
     this.#isSkippingResponse = head.status < 200;
     if (current && this.#isSkippingResponse) {
       current.receivedInterims++;
+      current.request.onHead?.(head);
     }
     if (!current || this.#isSkippingResponse) {
       return false;
@@ -221,6 +222,7 @@
       this.#isReusable = false;
       return false;
     }
+    current.request.onHead?.(head);
     current.head = head;
     current.sectionBytes = 0;
     if (!head.isKeepAlive || !current.isBodySent) {
--- a/calls/relay/src/index.ts
+++ b/calls/relay/src/index.ts
@@ -10,3 +10,4 @@
 export * from './request_log.js';
 export * from './retry_after.js';
 export * from './worker_gate.js';
+export * from './worker_statement.js';
--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -5,6 +5,7 @@
   type Exchange,
   type ExchangeResponse,
   type ExchangeResult,
+  type ReceivedHead,
 } from '@carobseam/calls.exchange';
 import {
   priorityClassOf,
@@ -17,6 +18,7 @@
 import {wireHeaders} from '@carobseam/platform.adapter';
 import {Readable} from 'node:stream';
 import type {HopVerdict} from './hop_message.js';
+import {WorkerStatements, type WorkerStatement} from './worker_statement.js';
 
 const INITIAL_SLOTS = 8; // of the smallest worker in the users' specification; used until the worker's entry is read
 const EXPIRY_MARGIN_MS = 100; // so that a refusal reaches the caller before its deadline
@@ -76,6 +78,8 @@
   isGone: (id: WorkerId) => boolean;
   /** Called for each new connection to the worker. */
   onConnection: () => void;
+  /** Called when a worker states something new about itself. */
+  onStatement?: (id: WorkerId, statement: WorkerStatement) => void;
 }
 
 interface PendingRequest extends QueuedRequest {
@@ -99,6 +103,7 @@
   readonly #pool: ConnectionPool;
   readonly #queue: WorkerQueue<PendingRequest>;
   readonly #running = new Set<PendingRequest>();
+  readonly #statements = new WorkerStatements();
   #worker?: MeshWorker;
   #drainTimer?: Timer;
 
@@ -245,6 +250,7 @@
       headers: [...request.headers, wireHeaders.deadlineMs, String(deadlineMs)],
       body: request.body,
       requestId: request.requestId,
+      onHead: head => this.#recordHead(request.worker, head),
       // On a reused connection an idle close or a late response to an earlier
       // request could leave it unknown whether the worker ran the request,
       // and a request that is not idempotent could then not be retried.
@@ -258,6 +264,13 @@
     });
   }
 
+  #recordHead(id: WorkerId, head: ReceivedHead): void {
+    const statement = this.#statements.record(id, head);
+    if (statement) {
+      this.#options.onStatement?.(id, statement);
+    }
+  }
+
   #recordResult(
     result: ExchangeResult,
     priorityClass: number,
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -122,6 +122,7 @@
       isGone: id => this.#state.isGone(id),
       onConnection: () =>
         metrics.increment('carobseam_relay_worker_connections_total'),
+      onStatement: (id, statement) => recorder.workerStatement(id, statement),
     });
     const fetchFeed = this.#feedClient.fetch.bind(this.#feedClient);
     this.#readerFollower = new ReaderFollower({
--- a/daemon/relay/src/request_recorder.ts
+++ b/daemon/relay/src/request_recorder.ts
@@ -1,4 +1,5 @@
-import type {RequestLog} from '@carobseam/calls.relay';
+import type {RequestLog, WorkerStatement} from '@carobseam/calls.relay';
+import type {WorkerId} from '@carobseam/config.mesh';
 import type {LogFields} from '@carobseam/core.logger';
 import type {Metrics} from '@carobseam/core.metrics';
 import type {RateLimitedLog} from './rate_limited_log.js';
@@ -53,4 +54,15 @@
     this.#metrics.increment('carobseam_relay_gate_refusals_total', {reason});
     this.#log.logImportant('gate_decision', {reason, ...fields});
   }
+
+  /** Records what the local worker has stated about itself in a response. */
+  workerStatement(id: WorkerId, statement: WorkerStatement): void {
+    const {rateLimitPerS, isLeaving} = statement;
+    this.#metrics.set('carobseam_relay_worker_rate_limit', rateLimitPerS ?? 0);
+    this.#log.logger.info('worker_statement', {
+      worker: id,
+      rateLimitPerS,
+      isLeaving,
+    });
+  }
 }
