fix(relay): send a worker no more requests than the rate it states

Cause: the gate in front of a worker limits concurrency only.

Change: every request passes the gate of its worker's VM, so the sum over all relays is known there alone. Its queue now has a token bucket beside the slots. The estimate of waiting includes the rate, so what the limit leaves out is refused at once, goes to another worker, or is refused to the caller with the time until a start as Retry-After. The gate tells limit and free starts with each response, so placement sees the wait. Entry relays keep the last limit and send it along, because a relay that restarts does not know it before the first response.

--- a/calls/placement/src/worker_loads.ts
+++ b/calls/placement/src/worker_loads.ts
@@ -8,6 +8,8 @@
 const CONTENTION_COST_SHARE = 0.2; // of the service time, when all slots are busy
 const FULL_MS = 200; // a tenth of the slots becomes free within it; a longer time would leave slots unused
 
+const MS_PER_S = 1000;
+
 interface WorkerState {
   report?: WorkerLoad;
   reportedMs: number;
@@ -15,6 +17,8 @@
   ownInFlight: number;
   /** Value of `ownInFlight` at the time of the report. */
   ownInFlightAtReport: number;
+  /** Attempts of this relay that started after the report. */
+  startedSinceReport: number;
   isAddressStale: boolean;
   /**
    * Until when the worker counts as full, for each priority class, on the
@@ -48,7 +52,9 @@
   }
 
   recordAttemptStart(id: WorkerId): void {
-    this.#stateOf(id).ownInFlight++;
+    const state = this.#stateOf(id);
+    state.ownInFlight++;
+    state.startedSinceReport++;
   }
 
   recordAttemptEnd(id: WorkerId): void {
@@ -62,6 +68,7 @@
     state.report = report;
     state.reportedMs = this.#clock.monotonicMs();
     state.ownInFlightAtReport = state.ownInFlight;
+    state.startedSinceReport = 0;
   }
 
   /**
@@ -87,6 +94,14 @@
     }
   }
 
+  /**
+   * Rate limit that the worker last stated, in requests per second; undefined
+   * without one.
+   */
+  knownRateLimitPerS(id: WorkerId): number | undefined {
+    return this.#byWorker.get(id)?.report?.rateLimit?.perS;
+  }
+
   remove(id: WorkerId): void {
     this.#byWorker.delete(id);
   }
@@ -108,9 +123,16 @@
         state!.ownInFlightAtReport
       : ownInFlight;
     const waitRounds = Math.max(0, busy + 1 - worker.slots) / worker.slots;
+    // Requests to a nearly full worker may have to wait for a moment.
+    const slotWaitMs =
+      waitRounds * meanMs + contentionMs(busy, worker.slots, meanMs);
     return {
-      // Requests to a nearly full worker may have to wait for a moment.
-      waitMs: waitRounds * meanMs + contentionMs(busy, worker.slots, meanMs),
+      waitMs: Math.max(
+        slotWaitMs,
+        report
+          ? rateWaitMs(report, state!.startedSinceReport, priorityClass)
+          : 0,
+      ),
       serviceMs: report?.serviceMs[priorityClass] || meanMs,
       failureShare: report?.failureShare ?? 0,
       isLoadUnknown: state?.report === undefined,
@@ -137,6 +159,7 @@
         reportedMs: -Infinity,
         ownInFlight: 0,
         ownInFlightAtReport: 0,
+        startedSinceReport: 0,
         isAddressStale: false,
         fullUntilMs: [],
       };
@@ -146,6 +169,23 @@
   }
 }
 
+/**
+ * Expected wait for a start that the worker's rate limit allows, in ms. Starts
+ * that become available after the report are assumed to go to other relays.
+ */
+function rateWaitMs(
+  {rateLimit, queued}: WorkerLoad,
+  startedSinceReport: number,
+  priorityClass: number,
+): number {
+  if (!rateLimit) {
+    return 0;
+  }
+  const ahead = countAhead(queued, priorityClass) + startedSinceReport;
+  const missing = ahead + 1 - rateLimit.available;
+  return Math.max(0, (missing / rateLimit.perS) * MS_PER_S);
+}
+
 function contentionMs(busy: number, slots: number, serviceMs: number): number {
   const share = Math.min(1, busy / slots);
   const excess =
--- a/calls/relay/src/attempt.ts
+++ b/calls/relay/src/attempt.ts
@@ -9,6 +9,8 @@
 import type {DispatchedRequest} from './dispatched_request.js';
 import {
   decodeHopResponse,
+  decodeHopStatement,
+  encodeKnownRateLimit,
   encodeHopRequest,
   hopHeaders,
   toQueuedRequest,
@@ -99,7 +101,12 @@
     const exchange = peerPools.poolFor(vmAddress).exchange({
       method: request.method,
       url: request.url,
-      headers: [...request.headers, hopHeaders.request, encodeHopRequest(hop)],
+      headers: [
+        ...request.headers,
+        hopHeaders.request,
+        encodeHopRequest(hop),
+        ...encodeKnownRateLimit(workerLoads.knownRateLimitPerS(hop.worker)),
+      ],
       body: request.body,
       requestId: request.id,
       silenceWatch: {
@@ -125,7 +132,10 @@
     if (!hopResponse) {
       return {outcome: 'unknown', reason: 'noVerdict', waitMs: 0};
     }
-    workerLoads.recordReport(this.worker.id, hopResponse.load);
+    const {rateLimit} = decodeHopStatement(
+      headerValue(result.headers, hopHeaders.statement),
+    );
+    workerLoads.recordReport(this.worker.id, {...hopResponse.load, rateLimit});
     return toAttemptResult({...hopResponse, response: result});
   }
 
--- a/calls/relay/src/hop_message.ts
+++ b/calls/relay/src/hop_message.ts
@@ -1,10 +1,18 @@
-import type {QueuedRequest, WorkerLoad} from '@carobseam/calls.worker_queue';
+import type {
+  QueuedRequest,
+  WorkerLoad,
+  WorkerRateLimit,
+} from '@carobseam/calls.worker_queue';
 import type {WorkerId} from '@carobseam/config.mesh';
 
 /** Headers between two relays; the values are lists separated by semicolons. */
 export const hopHeaders = {
   request: 'x-cs-hop',
   response: 'x-cs-load',
+  /** Only in requests for a worker whose rate limit the sender knows. */
+  knownRateLimit: 'x-cs-limit',
+  /** Only in responses about a worker that states a limit. */
+  statement: 'x-cs-statement',
 } as const;
 
 /** Metadata that a relay sends to the worker's relay with each request. */
@@ -38,6 +46,11 @@
   load: WorkerLoad;
 }
 
+/** What the worker has stated about itself, as its relay knows it. */
+export interface HopStatement {
+  rateLimit?: WorkerRateLimit;
+}
+
 export function encodeHopRequest(hop: HopRequest): string {
   return [
     hop.worker,
@@ -105,6 +118,32 @@
   ].join(';');
 }
 
+/** Encodes a known rate limit as a header; there is none without a limit. */
+export function encodeKnownRateLimit(perS: number | undefined): string[] {
+  return perS === undefined ? [] : [hopHeaders.knownRateLimit, String(perS)];
+}
+
+/**
+ * Encodes what the worker has stated about itself, as headers with alternating
+ * names and values; there are none when it has stated nothing.
+ */
+export function encodeHopStatement({rateLimit}: WorkerLoad): string[] {
+  return rateLimit
+    ? [
+        hopHeaders.statement,
+        `${rateLimit.perS};${rateLimit.available.toFixed(1)}`,
+      ]
+    : [];
+}
+
+/** Decodes the header of `encodeHopStatement`; absent, nothing was stated. */
+export function decodeHopStatement(text: string | undefined): HopStatement {
+  const [perS, available] = (text ?? '').split(';').map(Number);
+  return {
+    rateLimit: perS! > 0 ? {perS: perS!, available: available!} : undefined,
+  };
+}
+
 /** @return undefined when the text is not a valid response hop header. */
 export function decodeHopResponse(
   text: string | undefined,
--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -8,6 +8,7 @@
 import {
   decodeHopRequest,
   encodeHopResponse,
+  encodeHopStatement,
   hopHeaders,
   toQueuedRequest,
 } from './hop_message.js';
@@ -22,6 +23,7 @@
 const MAX_BODY_BYTES = 1024 * 1024 * 1024; // the sending relay has applied the caller's limit
 const EXCLUDED_HEADERS = new Set<string>([
   hopHeaders.request,
+  hopHeaders.knownRateLimit,
   wireHeaders.deadlineMs,
   wireHeaders.expectedWorker,
 ]);
@@ -105,6 +107,7 @@
     headers.push(wireHeaders.expectedWorker, hop.worker);
     const ticket = workerGate.submit({
       worker: hop.worker,
+      knownRateLimitPerS: knownRateLimitOf(request),
       isIdempotent: hop.isIdempotent,
       scheduling,
       method: request.method!,
@@ -190,20 +193,25 @@
     if (result.verdict !== 'answered') {
       this.#recordDecision(request, result, load, {reason: result.reason});
     }
+    const hopResponseHeaders = [
+      hopHeaders.response,
+      verdict,
+      ...encodeHopStatement(load),
+    ];
     if (result.response) {
-      sendResponse(response, result.response, [hopHeaders.response, verdict]);
+      sendResponse(response, result.response, hopResponseHeaders);
       return;
     }
-    response.writeHead(503, [
-      hopHeaders.response,
-      verdict,
-      'Content-Length',
-      '0',
-    ]);
+    response.writeHead(503, [...hopResponseHeaders, 'Content-Length', '0']);
     response.end();
   }
 }
 
+function knownRateLimitOf(request: IncomingMessage): number | undefined {
+  const perS = Number(request.headers[hopHeaders.knownRateLimit]);
+  return perS > 0 ? perS : undefined;
+}
+
 function requestIdOf(request: IncomingMessage): string | undefined {
   return request.headers[wireHeaders.requestId] as string | undefined;
 }
--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -19,6 +19,8 @@
 const EXCLUDED_HEADERS = new Set<string>([
   hopHeaders.request,
   hopHeaders.response,
+  hopHeaders.knownRateLimit,
+  hopHeaders.statement,
   wireHeaders.deadlineMs,
   wireHeaders.expectedWorker,
   wireHeaders.callerService,
--- a/calls/relay/src/send_response.ts
+++ b/calls/relay/src/send_response.ts
@@ -4,7 +4,10 @@
 import {forwardedHeaders} from './forwarded_headers.js';
 import {hopHeaders} from './hop_message.js';
 
-const EXCLUDED_HEADERS = new Set<string>([hopHeaders.response]);
+const EXCLUDED_HEADERS = new Set<string>([
+  hopHeaders.response,
+  hopHeaders.statement,
+]);
 
 /**
  * Forwards a received response. When its streamed body ends early, the
--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -28,6 +28,11 @@
 /** A request for the local worker. */
 export interface GateRequest {
   worker: WorkerId;
+  /**
+   * Rate limit of the worker that the sender knows, in requests per second. It
+   * applies until the worker itself has responded to this relay.
+   */
+  knownRateLimitPerS?: number;
   isIdempotent: boolean;
   scheduling: QueuedRequest;
   method: string;
@@ -144,6 +149,7 @@
       this.#queue.estimate.reset();
       this.#cancelDrain();
     }
+    this.#forgetStatementBefore(worker);
     this.#worker = worker;
     this.#queue.setSlots(worker.slots);
     if (worker.isLeaving) {
@@ -153,6 +159,21 @@
     }
   }
 
+  /** Forgets what an earlier start of the worker, or another worker, stated. */
+  #forgetStatementBefore(worker: MeshWorker): void {
+    const current = this.#worker;
+    if (!current) {
+      return;
+    }
+    const isRestarted =
+      worker.id === current.id && worker.bornMs > current.bornMs;
+    const isOther = worker.id !== current.id && !this.#statements.of(worker.id);
+    if (isRestarted || isOther) {
+      this.#statements.forget();
+      this.#queue.setRateLimit(undefined);
+    }
+  }
+
   /** Sends a request to the worker at once, queues it, or refuses it. */
   submit(request: GateRequest): GateTicket {
     let resolve!: (result: GateResult) => void;
@@ -163,7 +184,11 @@
       resolve,
       submittedMs: this.#options.clock.monotonicMs(),
     };
-    if (this.#options.isGone(request.worker)) {
+    const {worker, knownRateLimitPerS} = request;
+    if (knownRateLimitPerS !== undefined && !this.#statements.of(worker)) {
+      this.#queue.setRateLimit(knownRateLimitPerS);
+    }
+    if (this.#options.isGone(worker)) {
       resolve({verdict: 'notSent', reason: 'workerGone', retryAfterMs: 0});
     } else {
       this.#enqueue(pending);
@@ -201,6 +226,7 @@
 
   close(): void {
     this.#drainTimer?.cancel();
+    this.#queue.close();
     this.#pool.close();
   }
 
@@ -265,9 +291,16 @@
   }
 
   #recordHead(id: WorkerId, head: ReceivedHead): void {
-    const statement = this.#statements.record(id, head);
+    if (this.#options.isGone(id)) {
+      return;
+    }
+    const changed = this.#statements.record(id, head);
+    const statement = this.#statements.of(id);
+    if (changed) {
+      this.#options.onStatement?.(id, changed);
+    }
     if (statement) {
-      this.#options.onStatement?.(id, statement);
+      this.#queue.setRateLimit(statement.rateLimitPerS);
     }
   }
 
--- a/calls/relay/src/worker_statement.ts
+++ b/calls/relay/src/worker_statement.ts
@@ -56,10 +56,14 @@
     const stated = decodeWorkerStatement(head.headers);
     const isSigned =
       headerValue(head.headers, wireHeaders.workerSignature) !== undefined;
+    const isSilent = stated.rateLimitPerS === undefined && !stated.isLeaving;
+    if (isSilent && !isSigned) {
+      return undefined;
+    }
     const statement: WorkerStatement = {
-      rateLimitPerS:
-        stated.rateLimitPerS ??
-        (isSigned ? undefined : previous?.rateLimitPerS),
+      rateLimitPerS: isSigned
+        ? stated.rateLimitPerS
+        : (stated.rateLimitPerS ?? previous?.rateLimitPerS),
       isLeaving: stated.isLeaving || previous?.isLeaving === true,
     };
     this.#workerId = id;
--- a/calls/relay/test/load_simulator.ts
+++ b/calls/relay/test/load_simulator.ts
@@ -38,7 +38,12 @@
 export interface SimulateLoadOptions {
   seed: number;
   /** Speed of each worker and its data centre. */
-  workers: ReadonlyArray<{speed: number; dataCentre: string}>;
+  workers: ReadonlyArray<{
+    speed: number;
+    dataCentre: string;
+    /** Requests per second that it accepts; any number when absent. */
+    rateLimitPerS?: number;
+  }>;
   slots: number;
   /** Data centre of each relay; by default one relay for each worker. */
   relays?: readonly string[];
@@ -55,6 +60,8 @@
   remoteAttempts: number;
   /** Longest time from an attempt to its refusal, in ms. */
   slowestRefusalMs: number;
+  /** Requests of this kind that each worker got. */
+  startsByWorker: number[];
 }
 
 interface Attempt extends QueuedRequest {
@@ -109,7 +116,9 @@
     this.#relays =
       options.relays ?? options.workers.map(({dataCentre}) => dataCentre);
     this.#workerLoads = this.#relays.map(() => new WorkerLoads(this.#clock));
-    this.#queues = options.workers.map(() => this.#createQueue());
+    this.#queues = options.workers.map(({rateLimitPerS}) =>
+      this.#createQueue(rateLimitPerS),
+    );
     for (const kind of options.kinds) {
       this.#results.set(kind.name, {
         requests: 0,
@@ -118,6 +127,7 @@
         failed: 0,
         remoteAttempts: 0,
         slowestRefusalMs: 0,
+        startsByWorker: options.workers.map(() => 0),
       });
     }
   }
@@ -131,7 +141,7 @@
     return this.#results;
   }
 
-  #createQueue(): WorkerQueue<Attempt> {
+  #createQueue(rateLimitPerS?: number): WorkerQueue<Attempt> {
     const queue = new WorkerQueue<Attempt>({
       clock: this.#clock,
       start: attempt => this.#startWork(attempt),
@@ -139,6 +149,7 @@
         this.#handleRefusal(attempt, waitMs),
     });
     queue.setSlots(this.#options.slots);
+    queue.setRateLimit(rateLimitPerS);
     return queue;
   }
 
@@ -224,6 +235,7 @@
 
   #startWork(attempt: Attempt): void {
     const {speed} = this.#options.workers[attempt.worker]!;
+    this.#results.get(attempt.kind.name)!.startsByWorker[attempt.worker]!++;
     const spread = 1 + (this.#random.nextFloat() * 2 - 1) * WORK_SPREAD;
     const durationMs = (attempt.kind.workMs * spread) / speed;
     this.#clock.setTimer(durationMs, () => {
--- a/calls/worker_queue/src/queued_request.ts
+++ b/calls/worker_queue/src/queued_request.ts
@@ -1,3 +1,5 @@
+import type {WorkerRateLimit} from './rate_limiter.js';
+
 /** Properties of a request that decide its place in the queue of its worker. */
 export interface QueuedRequest {
   /** Priority; 0 is the highest. */
@@ -42,6 +44,8 @@
   meanServiceMs: number;
   /** Share of recent requests that the worker failed or rejected, 0 to 1. */
   failureShare: number;
+  /** Absent when the worker states no rate limit. */
+  rateLimit?: WorkerRateLimit;
   /** Whether the worker is leaving or its relay is draining. */
   isLeaving: boolean;
 }
--- a/calls/worker_queue/src/worker_queue.ts
+++ b/calls/worker_queue/src/worker_queue.ts
@@ -1,10 +1,11 @@
-import type {Clock} from '@carobseam/core.types';
+import type {Clock, Timer} from '@carobseam/core.types';
 import {
   PRIORITY_CLASS_COUNT,
   priorityClassOf,
   type QueuedRequest,
   type WorkerLoad,
 } from './queued_request.js';
+import {RateLimiter} from './rate_limiter.js';
 import {ServiceTimeEstimate} from './service_time_estimate.js';
 
 const SERVICE_MARGIN = 1.25; // work times vary by a third of their mean, and the response takes time to travel
@@ -24,7 +25,7 @@
 /** Options of `WorkerQueue`. */
 export interface WorkerQueueOptions<T extends QueuedRequest> {
   clock: Clock;
-  /** Starts a queued request on a free slot. */
+  /** Starts a queued request. */
   start: (request: T) => void;
   /** Called for a queued request that is refused instead of started. */
   refuse: (
@@ -35,7 +36,7 @@
 }
 
 /**
- * Priority queue and concurrency limit of one worker. Requests that can still
+ * Priority queue, concurrency limit and rate limit of one worker. Requests that can still
  * meet their target latency are started first, by rank and then by due time;
  * late requests use the remaining slots. A request is refused at once when it
  * is expected to expire before its response, or when the queue would make its
@@ -44,13 +45,17 @@
 export class WorkerQueue<T extends QueuedRequest> {
   readonly estimate = new ServiceTimeEstimate();
   readonly #options: WorkerQueueOptions<T>;
+  readonly #limiter: RateLimiter;
   #queued: T[] = [];
   #running = 0;
   #slots = 0;
   #isDraining = false;
+  /** Runs when the rate limit allows the next start. */
+  #startTimer?: Timer;
 
   constructor(options: WorkerQueueOptions<T>) {
     this.#options = options;
+    this.#limiter = new RateLimiter(options.clock);
   }
 
   get load(): WorkerLoad {
@@ -66,6 +71,7 @@
       serviceMs: this.estimate.meanByClassMs,
       meanServiceMs: this.estimate.meanMs,
       failureShare: this.estimate.failureShare,
+      rateLimit: this.#limiter.limit,
       isLeaving: this.#isDraining,
     };
   }
@@ -76,6 +82,23 @@
     this.#startQueued();
   }
 
+  /**
+   * Sets how many requests may start per second; undefined for any number.
+   */
+  setRateLimit(perS: number | undefined): void {
+    if (!this.#limiter.setLimit(perS)) {
+      return;
+    }
+    if (this.#limiter.isLimited) {
+      this.#refuseUnservable();
+    }
+    this.#startQueued();
+  }
+
+  close(): void {
+    this.#startTimer?.cancel();
+  }
+
   /** Refuses all queued and all new requests; running requests complete. */
   drain(): void {
     this.#isDraining = true;
@@ -97,7 +120,9 @@
     if (this.#isDraining) {
       return {kind: 'refused', reason: 'leaving', retryAfterMs: 0};
     }
-    if (this.#running < this.#slots) {
+    this.#startQueued();
+    const isNext = this.#queued.length === 0;
+    if (isNext && this.#running < this.#slots && this.#limiter.take()) {
       this.#running++;
       return {kind: 'start'};
     }
@@ -106,6 +131,7 @@
       return {kind: 'refused', reason, retryAfterMs: this.#waitMs(request)};
     }
     this.#queued.push(request);
+    this.#scheduleStart();
     return {kind: 'queued'};
   }
 
@@ -128,12 +154,25 @@
   #startQueued(): void {
     while (this.#running < this.#slots && this.#queued.length > 0) {
       this.#refuseExpiring();
-      const next = this.#takeNext();
-      if (!next) {
-        return;
+      if (this.#queued.length === 0 || !this.#limiter.take()) {
+        break;
       }
       this.#running++;
-      this.#options.start(next);
+      this.#options.start(this.#takeNext()!);
+    }
+    this.#scheduleStart();
+  }
+
+  /** Starts the next request once the rate limit allows it. */
+  #scheduleStart(): void {
+    this.#startTimer?.cancel();
+    this.#startTimer = undefined;
+    const waitsForRate = this.#running < this.#slots && this.#queued.length > 0;
+    if (waitsForRate) {
+      this.#startTimer = this.#options.clock.setTimer(
+        this.#limiter.delayMs(0),
+        () => this.#startQueued(),
+      );
     }
   }
 
@@ -181,8 +220,18 @@
   #waitMs(request: T): number {
     const nowMs = this.#nowMs();
     const aheadCount = this.#queued.filter(
-      other => !this.#precedes(request, other, nowMs),
+      other => other !== request && !this.#precedes(request, other, nowMs),
     ).length;
+    return Math.max(
+      this.#slotWaitMs(aheadCount),
+      this.#limiter.delayMs(aheadCount),
+    );
+  }
+
+  #slotWaitMs(aheadCount: number): number {
+    if (this.#running + aheadCount < this.#slots) {
+      return 0;
+    }
     return ((aheadCount + 1) * this.estimate.meanMs) / Math.max(1, this.#slots);
   }
 
@@ -195,6 +244,21 @@
     return this.estimate.expectedMs(priorityClassOf(request)) * SERVICE_MARGIN;
   }
 
+  /** Refuses queued requests that a new limit leaves without a chance in time. */
+  #refuseUnservable(): void {
+    const nowMs = this.#nowMs();
+    const lastFirst = [...this.#queued].sort((a, b) =>
+      this.#precedes(a, b, nowMs) ? 1 : -1,
+    );
+    for (const request of lastFirst) {
+      const reason = this.#refusalReasonFor(request);
+      if (reason) {
+        this.remove(request);
+        this.#options.refuse(request, reason, this.#waitMs(request));
+      }
+    }
+  }
+
   #refuseExpiring(): void {
     const nowMs = this.#nowMs();
     for (const request of [...this.#queued]) {
--- a/calls/worker_queue/test/worker_queue.test.ts
+++ b/calls/worker_queue/test/worker_queue.test.ts
@@ -117,4 +117,57 @@
     queue.release();
     expect(started).to.deep.equal([]);
   });
+
+  it('guards against more starts a second than the worker accepts', () => {
+    const {clock, queue, submit, started} = createQueue(8);
+    queue.setRateLimit(10);
+    for (const name of ['a', 'b', 'c']) {
+      expect(submit(name).kind).to.equal('queued');
+    }
+    clock.advance(100);
+    expect(started).to.deep.equal(['a']);
+    clock.advance(200);
+    expect(started).to.deep.equal(['a', 'b', 'c']);
+    expect(queue.load.rateLimit?.perS).to.equal(10);
+  });
+
+  it('guards against holding a request that the rate leaves without a chance', () => {
+    const {queue, submit} = createQueue(8);
+    queue.setRateLimit(2);
+    expect(submit('first').kind).to.equal('queued');
+    const result = submit('second');
+    expect(result).to.deep.equal({
+      kind: 'refused',
+      reason: 'wouldBeLate',
+      retryAfterMs: 1000,
+    });
+  });
+
+  it('guards against queued requests that a new limit makes late', () => {
+    const {queue, submit, refused} = createQueue(1);
+    submit('running');
+    submit('waiting');
+    submit('urgent', {rank: 1});
+    queue.setRateLimit(2);
+    expect(refused).to.deep.equal([['waiting', 'wouldBeLate']]);
+  });
+
+  it('guards against a newer request that takes the start of a queued one', () => {
+    const {clock, queue, submit, started} = createQueue(8);
+    queue.setRateLimit(10);
+    submit('first', {rank: 1});
+    clock.advance(99);
+    expect(submit('second').kind).to.equal('queued');
+    clock.advance(1);
+    expect(started).to.deep.equal(['first']);
+  });
+
+  it('guards against queued requests that wait on after the limit was lifted', () => {
+    const {queue, submit, started} = createQueue(8);
+    queue.setRateLimit(2);
+    submit('waiting');
+    queue.setRateLimit(undefined);
+    expect(started).to.deep.equal(['waiting']);
+    expect(queue.load.rateLimit).to.equal(undefined);
+  });
 });
