fix(relay): leave a worker alone that says that it leaves

Cause: leaving was known from the store's entry only; what the worker states was ignored, like its rate limit.

Change: a statement starts the same drain at the gate as the entry does. The gate passes the statement on with each response, and an entry relay keeps it for this start of the worker (id and start time), also when the entry lapses and is written again and when the gate's relay restarts without the statement. A later start of the same id is used again.

--- a/calls/placement/src/choose_worker.ts
+++ b/calls/placement/src/choose_worker.ts
@@ -19,6 +19,8 @@
   estimate: (worker: MeshWorker) => LoadEstimate;
   /** Whether the VM of the worker is marked as down. */
   isUnreachable: (worker: MeshWorker) => boolean;
+  /** Whether the worker must receive no more requests. */
+  hasLeft: (worker: MeshWorker) => boolean;
   /** Workers that were already tried for this request. */
   triedWorkerIds: ReadonlySet<WorkerId>;
   random: RandomSource;
@@ -48,13 +50,15 @@
  * local data centre, because sending it elsewhere gains nothing. Workers that
  * are leaving, failing or unreachable are used only if there is no other.
  *
- * @return undefined when every worker was tried.
+ * @return undefined when every worker was tried or has left.
  */
 export function chooseWorker(
   options: ChooseWorkerOptions,
 ): WorkerChoice | undefined {
   const {workers, triedWorkerIds, random, dataCentre} = options;
-  const untried = workers.filter(worker => !triedWorkerIds.has(worker.id));
+  const untried = workers.filter(
+    worker => !triedWorkerIds.has(worker.id) && !options.hasLeft(worker),
+  );
   if (random.nextFloat() < FIRST_TRY_SHARE) {
     const unknownLoad = preferredCandidates(untried, options).filter(
       ({isLoadUnknown}) => isLoadUnknown,
--- a/calls/placement/src/worker_loads.ts
+++ b/calls/placement/src/worker_loads.ts
@@ -6,8 +6,24 @@
 const DEFAULT_SERVICE_MS = 200; // mean of the work times in the users' specification
 const CONTENTION_THRESHOLD = 0.8; // share of busy slots above which requests of several relays compete for the same slots
 const CONTENTION_COST_SHARE = 0.2; // of the service time, when all slots are busy
+const LEFT_TTL_MS = 60_000; // workers serve on for many seconds after their entries were removed
 const FULL_MS = 200; // a tenth of the slots becomes free within it; a longer time would leave slots unused
 
+/**
+ * Share of the time within which a leaving worker must be left alone that passes
+ * before requests to it are refused. The rest covers the delay of the source of
+ * worker entries and relays that read it but are unresponsive.
+ */
+export const DRAIN_DELAY_SHARE = 0.2;
+
+/** A worker that has stated that it is about to exit. */
+interface LeavingMark {
+  bornMs: number;
+  sinceMs: number;
+  /** When its entry was removed, on the monotonic clock, in ms. */
+  removedMs?: number;
+}
+
 const MS_PER_S = 1000;
 
 interface WorkerState {
@@ -45,10 +61,15 @@
  */
 export class WorkerLoads {
   readonly #clock: Clock;
+  readonly #drainMs: number;
   readonly #byWorker = new Map<WorkerId, WorkerState>();
+  /** Kept beyond the removal of an entry, which may be written again. */
+  readonly #leaving = new Map<WorkerId, LeavingMark>();
 
-  constructor(clock: Clock) {
+  /** @param drainMs time after which a leaving worker must not receive requests, in ms. */
+  constructor(clock: Clock, drainMs: number) {
     this.#clock = clock;
+    this.#drainMs = drainMs;
   }
 
   recordAttemptStart(id: WorkerId): void {
@@ -94,6 +115,25 @@
     }
   }
 
+  /** Marks this start of a worker as leaving, as it has stated itself. */
+  markLeaving({id, bornMs}: MeshWorker): void {
+    if (!((this.#leaving.get(id)?.bornMs ?? -1) >= bornMs)) {
+      this.#leaving.set(id, {bornMs, sinceMs: this.#clock.monotonicMs()});
+    }
+  }
+
+  /**
+   * Whether a worker must receive no more requests, because it stated some time
+   * ago that it is about to exit.
+   */
+  hasLeft(worker: MeshWorker): boolean {
+    const mark = this.#markOf(worker);
+    const delayMs = this.#drainMs * DRAIN_DELAY_SHARE;
+    return (
+      mark !== undefined && this.#clock.monotonicMs() - mark.sinceMs >= delayMs
+    );
+  }
+
   /**
    * Rate limit that the worker last stated, in requests per second; undefined
    * without one.
@@ -104,6 +144,16 @@
 
   remove(id: WorkerId): void {
     this.#byWorker.delete(id);
+    const nowMs = this.#clock.monotonicMs();
+    const mark = this.#leaving.get(id);
+    if (mark) {
+      mark.removedMs = nowMs;
+    }
+    for (const [leavingId, {removedMs = Infinity}] of this.#leaving) {
+      if (removedMs < nowMs - LEFT_TTL_MS) {
+        this.#leaving.delete(leavingId);
+      }
+    }
   }
 
   /**
@@ -140,11 +190,17 @@
         (state?.fullUntilMs[priorityClass] ?? 0) > this.#clock.monotonicMs(),
       isLeaving:
         worker.isLeaving ||
+        this.#markOf(worker) !== undefined ||
         state?.isAddressStale === true ||
         report?.isLeaving === true,
     };
   }
 
+  #markOf({id, bornMs}: MeshWorker): LeavingMark | undefined {
+    const mark = this.#leaving.get(id);
+    return mark && mark.bornMs >= bornMs ? mark : undefined;
+  }
+
   #freshReport(state: WorkerState | undefined): WorkerLoad | undefined {
     const isFresh =
       state?.report &&
--- a/calls/placement/test/choose_worker.test.ts
+++ b/calls/placement/test/choose_worker.test.ts
@@ -43,6 +43,7 @@
       ...loads[worker.id],
     }),
     isUnreachable: () => false,
+    hasLeft: () => false,
     triedWorkerIds: new Set(),
     random: new SeededRandom(3),
     ...overrides,
--- a/calls/placement/test/worker_loads.test.ts
+++ b/calls/placement/test/worker_loads.test.ts
@@ -5,6 +5,7 @@
 import type {DataCentreName, ServiceName} from '@carobseam/core.types';
 import {expect} from 'chai';
 
+const DRAIN_MS = 2000;
 const CLASS = 1;
 
 function createWorker(bornMs = 1): MeshWorker {
@@ -35,7 +36,7 @@
 
 function createLoads() {
   const clock = new ManualClock();
-  const loads = new WorkerLoads(clock);
+  const loads = new WorkerLoads(clock, DRAIN_MS);
   return {clock, loads, worker: createWorker()};
 }
 
@@ -67,4 +68,40 @@
     loads.recordReport(worker.id, createReport());
     expect(loads.knownRateLimitPerS(worker.id)).to.equal(undefined);
   });
+
+  it('guards against requests to a worker that has said that it leaves', () => {
+    const {clock, loads, worker} = createLoads();
+    loads.markLeaving(worker);
+    expect(loads.estimate(worker, CLASS).isLeaving).to.equal(true);
+    expect(loads.hasLeft(worker)).to.equal(false);
+    clock.advance(DRAIN_MS * 0.2);
+    loads.markLeaving(worker);
+    expect(loads.hasLeft(worker)).to.equal(true);
+  });
+
+  it('guards against forgetting a leaving worker whose entry lapses and returns', () => {
+    const {clock, loads, worker} = createLoads();
+    loads.markLeaving(worker);
+    loads.remove(worker.id);
+    clock.advance(5000);
+    expect(loads.hasLeft(worker)).to.equal(true);
+  });
+
+  it('guards against avoiding a worker that has started again', () => {
+    const {clock, loads, worker} = createLoads();
+    loads.markLeaving(worker);
+    clock.advance(5000);
+    const restarted = createWorker(worker.bornMs + 1);
+    expect(loads.hasLeft(restarted)).to.equal(false);
+    expect(loads.estimate(restarted, CLASS).isLeaving).to.equal(false);
+  });
+
+  it('guards against keeping the marks of workers that are long gone', () => {
+    const {clock, loads, worker} = createLoads();
+    loads.markLeaving(worker);
+    loads.remove(worker.id);
+    clock.advance(61_000);
+    loads.remove('i-2' as WorkerId);
+    expect(loads.hasLeft(worker)).to.equal(false);
+  });
 });
--- a/calls/relay/src/attempt.ts
+++ b/calls/relay/src/attempt.ts
@@ -91,6 +91,9 @@
     this.#cancel = () => ticket.cancel();
     const result = await ticket.result;
     workerLoads.recordReport(hop.worker, workerGate.load);
+    if (result.isWorkerLeaving) {
+      workerLoads.markLeaving(this.worker);
+    }
     return toAttemptResult(result);
   }
 
@@ -132,10 +135,13 @@
     if (!hopResponse) {
       return {outcome: 'unknown', reason: 'noVerdict', waitMs: 0};
     }
-    const {rateLimit} = decodeHopStatement(
+    const {rateLimit, isWorkerLeaving} = decodeHopStatement(
       headerValue(result.headers, hopHeaders.statement),
     );
     workerLoads.recordReport(this.worker.id, {...hopResponse.load, rateLimit});
+    if (isWorkerLeaving) {
+      workerLoads.markLeaving(this.worker);
+    }
     return toAttemptResult({...hopResponse, response: result});
   }
 
--- a/calls/relay/src/hop_message.ts
+++ b/calls/relay/src/hop_message.ts
@@ -11,7 +11,7 @@
   response: 'x-cs-load',
   /** Only in requests for a worker whose rate limit the sender knows. */
   knownRateLimit: 'x-cs-limit',
-  /** Only in responses about a worker that states a limit. */
+  /** Only in responses about a worker that states a limit or that it leaves. */
   statement: 'x-cs-statement',
 } as const;
 
@@ -48,6 +48,7 @@
 
 /** What the worker has stated about itself, as its relay knows it. */
 export interface HopStatement {
+  isWorkerLeaving: boolean;
   rateLimit?: WorkerRateLimit;
 }
 
@@ -127,20 +128,29 @@
  * Encodes what the worker has stated about itself, as headers with alternating
  * names and values; there are none when it has stated nothing.
  */
-export function encodeHopStatement({rateLimit}: WorkerLoad): string[] {
-  return rateLimit
-    ? [
-        hopHeaders.statement,
-        `${rateLimit.perS};${rateLimit.available.toFixed(1)}`,
-      ]
-    : [];
+export function encodeHopStatement(
+  load: WorkerLoad,
+  isWorkerLeaving: boolean,
+): string[] {
+  const {rateLimit} = load;
+  if (!rateLimit && !isWorkerLeaving) {
+    return [];
+  }
+  const limit = rateLimit
+    ? [rateLimit.perS, rateLimit.available.toFixed(1)]
+    : ['', ''];
+  return [hopHeaders.statement, [isWorkerLeaving ? 1 : 0, ...limit].join(';')];
 }
 
 /** Decodes the header of `encodeHopStatement`; absent, nothing was stated. */
 export function decodeHopStatement(text: string | undefined): HopStatement {
-  const [perS, available] = (text ?? '').split(';').map(Number);
+  const [isLeaving, perS, available] = (text ?? '').split(';');
   return {
-    rateLimit: perS! > 0 ? {perS: perS!, available: available!} : undefined,
+    isWorkerLeaving: isLeaving === '1',
+    rateLimit:
+      Number(perS) > 0
+        ? {perS: Number(perS), available: Number(available)}
+        : undefined,
   };
 }
 
--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -196,7 +196,7 @@
     const hopResponseHeaders = [
       hopHeaders.response,
       verdict,
-      ...encodeHopStatement(load),
+      ...encodeHopStatement(load, result.isWorkerLeaving === true),
     ];
     if (result.response) {
       sendResponse(response, result.response, hopResponseHeaders);
--- a/calls/relay/src/request_dispatcher.ts
+++ b/calls/relay/src/request_dispatcher.ts
@@ -99,6 +99,7 @@
       estimate: worker =>
         context.workerLoads.estimate(worker, priorityClassOf(request.route)),
       isUnreachable: worker => context.peerHealth.isDown(vmAddressOf(worker)),
+      hasLeft: worker => context.workerLoads.hasLeft(worker),
       triedWorkerIds: this.#triedWorkerIds,
       random: context.random,
     });
--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -7,6 +7,7 @@
   type ExchangeResult,
   type ReceivedHead,
 } from '@carobseam/calls.exchange';
+import {DRAIN_DELAY_SHARE} from '@carobseam/calls.placement';
 import {
   priorityClassOf,
   WorkerQueue,
@@ -23,7 +24,6 @@
 const INITIAL_SLOTS = 8; // of the smallest worker in the users' specification; used until the worker's entry is read
 const EXPIRY_MARGIN_MS = 100; // so that a refusal reaches the caller before its deadline
 const EXCHANGE_GRACE_MS = 500; // the worker's own error response at the deadline may still arrive
-const DRAIN_DELAY_SHARE = 0.2; // of drainMs; the rest covers the delay of the source of worker entries and relays that read it but are unresponsive
 
 /** A request for the local worker. */
 export interface GateRequest {
@@ -54,6 +54,8 @@
   waitedMs?: number;
   /** Time since the request was sent to the worker, in ms. */
   ranMs?: number;
+  /** Whether the worker has stated in a response that it is about to exit. */
+  isWorkerLeaving?: boolean;
 }
 
 /** A request that was submitted to the gate. */
@@ -142,7 +144,9 @@
    */
   setWorker(worker: MeshWorker | undefined): void {
     if (!worker) {
-      this.#scheduleDrain();
+      if (this.#worker) {
+        this.#scheduleDrain();
+      }
       return;
     }
     if (worker.id !== this.#worker?.id) {
@@ -152,7 +156,7 @@
     this.#forgetStatementBefore(worker);
     this.#worker = worker;
     this.#queue.setSlots(worker.slots);
-    if (worker.isLeaving) {
+    if (worker.isLeaving || this.#isLeaving(worker.id)) {
       this.#scheduleDrain();
     } else {
       this.#cancelDrain();
@@ -189,7 +193,12 @@
       this.#queue.setRateLimit(knownRateLimitPerS);
     }
     if (this.#options.isGone(worker)) {
-      resolve({verdict: 'notSent', reason: 'workerGone', retryAfterMs: 0});
+      resolve({
+        verdict: 'notSent',
+        reason: 'workerGone',
+        retryAfterMs: 0,
+        isWorkerLeaving: this.#isLeaving(worker),
+      });
     } else {
       this.#enqueue(pending);
     }
@@ -302,6 +311,9 @@
     if (statement) {
       this.#queue.setRateLimit(statement.rateLimitPerS);
     }
+    if (changed?.isLeaving) {
+      this.#scheduleDrain();
+    }
   }
 
   #recordResult(
@@ -340,13 +352,15 @@
     const nowMs = this.#options.clock.monotonicMs();
     result.waitedMs = (startedMs ?? nowMs) - submittedMs;
     result.ranMs = startedMs === undefined ? undefined : nowMs - startedMs;
+    result.isWorkerLeaving = this.#isLeaving(pending.request.worker);
     pending.resolve(result);
   }
 
+  #isLeaving(id: WorkerId): boolean {
+    return this.#statements.of(id)?.isLeaving === true;
+  }
+
   #scheduleDrain(): void {
-    if (!this.#worker) {
-      return;
-    }
     this.#drainTimer ??= this.#options.clock.setTimer(
       this.#options.drainMs * DRAIN_DELAY_SHARE,
       () => this.#queue.drain(),
--- a/calls/relay/test/load_simulator.ts
+++ b/calls/relay/test/load_simulator.ts
@@ -77,6 +77,7 @@
 
 const CALLER_RETRIES = 2; // as the users' specification states
 const ROUND_TRIP_MS = 3; // between two data centres
+const DRAIN_MS = 2000;
 const WORK_SPREAD = 0.3; // of the mean, as the users' specification states
 
 /**
@@ -115,7 +116,9 @@
     }));
     this.#relays =
       options.relays ?? options.workers.map(({dataCentre}) => dataCentre);
-    this.#workerLoads = this.#relays.map(() => new WorkerLoads(this.#clock));
+    this.#workerLoads = this.#relays.map(
+      () => new WorkerLoads(this.#clock, DRAIN_MS),
+    );
     this.#queues = options.workers.map(({rateLimitPerS}) =>
       this.#createQueue(rateLimitPerS),
     );
@@ -207,6 +210,7 @@
       estimate: worker =>
         workerLoads.estimate(worker, priorityClassOf(attempt)),
       isUnreachable: () => false,
+      hasLeft: () => false,
       triedWorkerIds: attempt.triedWorkerIds,
       random: this.#random,
     });
--- a/calls/relay/test/request_dispatcher.test.ts
+++ b/calls/relay/test/request_dispatcher.test.ts
@@ -68,7 +68,7 @@
     ...createContext().context,
     clock,
     state: {workersOf: () => [worker], config: {version: 3}},
-    workerLoads: new WorkerLoads(clock),
+    workerLoads: new WorkerLoads(clock, 2000),
     dataCentre: worker.dataCentre,
     peerHealth: {isDown: () => false, markDown: () => {}},
     peerPools: {
--- a/calls/relay/test/silent_hop.test.ts
+++ b/calls/relay/test/silent_hop.test.ts
@@ -149,7 +149,7 @@
     clock,
     random: new SeededRandom(1),
     state: {workersOf: () => workers},
-    workerLoads: new WorkerLoads(clock),
+    workerLoads: new WorkerLoads(clock, 2000),
     peerHealth: {
       isDown: (vmAddress: string) => downVms.includes(vmAddress),
       isUnreachable: () => options.isUnreachable ?? false,
--- a/calls/relay/test/streamed_body.test.ts
+++ b/calls/relay/test/streamed_body.test.ts
@@ -68,7 +68,7 @@
     clock,
     random: new SeededRandom(1),
     state: {workersOf: () => workers},
-    workerLoads: new WorkerLoads(clock),
+    workerLoads: new WorkerLoads(clock, 2000),
     dataCentre: workers[0]!.dataCentre,
     peerHealth: {isDown: () => false, markDown: () => {}},
     peerPools: {
--- a/calls/relay/test/worker_statement.test.ts
+++ b/calls/relay/test/worker_statement.test.ts
@@ -10,11 +10,13 @@
 import {expect} from 'chai';
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as pause} from 'node:timers/promises';
 import {createWorker} from './route_fixture.js';
 
 const DRAIN_MS = 500;
 const SEAL = {[wireHeaders.workerSignature]: 'seal'};
 const LIMITED = {...SEAL, [wireHeaders.workerRateLimit]: '10'};
+const LEAVING = {...SEAL, [wireHeaders.workerLeaving]: '1'};
 
 interface Response {
   status?: number;
@@ -138,10 +140,11 @@
   for (const [name, response] of statingResponses) {
     it(`guards against missing what ${name} states`, async () => {
       await withGate(async ({gate, responses, submit}) => {
-        const headers = {...response.headers, ...LIMITED};
+        const headers = {...response.headers, ...LIMITED, ...LEAVING};
         responses[0] = {...response, headers};
-        await submit();
+        const result = await submit();
         expect(gate.load.rateLimit?.perS).to.equal(10);
+        expect(result.isWorkerLeaving).to.equal(true);
       });
     });
   }
@@ -158,11 +161,14 @@
 
   it('guards against a limit of a worker that used the address before', async () => {
     await withGate(async ({gate, worker, responses, submit}) => {
-      responses[0] = {headers: LIMITED};
+      responses[0] = {headers: {...LIMITED, ...LEAVING}};
       await submit();
       await submit({worker: 'i-old' as WorkerId});
       gate.setWorker({...worker, id: 'i-8' as WorkerId});
       expect(gate.load.rateLimit).to.equal(undefined);
+      responses[0] = {};
+      const result = await submit({worker: 'i-8' as WorkerId});
+      expect(result.isWorkerLeaving).to.equal(false);
     });
   });
 
@@ -186,4 +192,30 @@
       expect(gate.load.rateLimit).to.equal(undefined);
     });
   });
+
+  it('guards against requests to a worker that says that it leaves', async () => {
+    await withGate(async ({gate, worker, responses, arrivals, submit}) => {
+      responses.unshift({headers: LEAVING});
+      expect((await submit()).isWorkerLeaving).to.equal(true);
+      gate.setWorker(worker);
+      await submit();
+      await pause(DRAIN_MS * 0.3);
+      const late = await submit();
+      expect(late).to.deep.include({verdict: 'notSent', reason: 'leaving'});
+      expect(late.isWorkerLeaving).to.equal(true);
+      expect(arrivals).to.have.length(2);
+    });
+  });
+
+  it('guards against refusing requests for a worker that has started again', async () => {
+    await withGate(async ({gate, worker, responses, submit}) => {
+      responses.unshift({headers: LEAVING});
+      await submit();
+      await pause(DRAIN_MS * 0.3);
+      gate.setWorker({...worker, bornMs: worker.bornMs + 1});
+      const result = await submit();
+      expect(result.verdict).to.equal('answered');
+      expect(result.isWorkerLeaving).to.equal(false);
+    });
+  });
 });
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -104,7 +104,7 @@
       onApplied: () => this.#handleStateApplied(),
     });
     this.#changeFeed = new ChangeFeed({clock, random, state: this.#state});
-    this.#workerLoads = new WorkerLoads(clock);
+    this.#workerLoads = new WorkerLoads(clock, settings.drainMs);
     const inboundPort = splitAddress(settings.inboundAddress).port;
     this.#peerPools = new PeerPools(clock, inboundPort);
     this.#peerHealth = new PeerHealth({
