test(soak): workers that state a limit or that they leave

Cause: the soak's workers stated nothing, so it could not find that relays ignore it. Change: two faults, limitWorker and leaveUnlisted. The worker notes which VMs have passed on a statement and what they send afterwards; the soak checks 1.5 times the limit and 5 requests in any 4 s, and the drain bound for a worker whose entry says nothing. A worker's start time no longer changes with each entry.

--- a/testing/soak/src/soak_faults.ts
+++ b/testing/soak/src/soak_faults.ts
@@ -8,7 +8,7 @@
   type SoakMesh,
   type SoakVm,
 } from './soak_mesh.js';
-import type {WorkerMood} from './soak_worker.js';
+import type {ToldArrival, WorkerMood} from './soak_worker.js';
 
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 2000; // above the silence after which relays give up on each other
@@ -27,6 +27,12 @@
 const LAPSE_MS = 4500; // three missed reports of a worker
 const CONTACT_MS = 3000; // bounds hold for relays that were calm for as long
 const SERVE_ON_MS = 400; // a drained worker serves a little longer than it must
+const TOLD_MS = 500; // from which a VM that passed on a limit must keep to it
+const LIMIT_WINDOW_MS = 4000;
+const LIMIT_SLACK_FACTOR = 1.5;
+const LIMIT_SLACK_REQUESTS = 5;
+const MAX_LIMIT_PER_S = 12; // an equal share of the soak's requests is about twice as many
+const MAX_LIMITED_MS = 9000;
 const MAX_RESTART_MS = 600; // the platform restarts a process after a short pause
 
 /** What a fault needs. */
@@ -166,6 +172,55 @@
   await mesh.startWorker(vm);
 };
 
+const isBound = ({vms}: SoakMesh, {vmIndex, toldMs}: ToldArrival) =>
+  vms[vmIndex] !== undefined && isCalmSince(vms[vmIndex], toldMs);
+
+const limitWorker: VmFault = async (vm, {mesh, random, broken}) => {
+  const {worker} = vm;
+  const perS = between(random, 1, MAX_LIMIT_PER_S);
+  worker.stateLimit(perS);
+  const firstMs = performance.now() + CONTACT_MS;
+  await pause(between(random, CONTACT_MS, MAX_LIMITED_MS));
+  const arrivals = worker.toldArrivals.filter(
+    arrival =>
+      arrival.atMs - arrival.toldMs >= TOLD_MS && isBound(mesh, arrival),
+  );
+  const most = LIMIT_SLACK_FACTOR * perS * (LIMIT_WINDOW_MS / 1000);
+  for (const {atMs} of arrivals.filter(arrival => arrival.atMs >= firstMs)) {
+    const count = arrivals.filter(
+      other => other.atMs > atMs - LIMIT_WINDOW_MS && other.atMs <= atMs,
+    ).length;
+    if (count > most + LIMIT_SLACK_REQUESTS) {
+      broken(
+        `worker ${worker.id} got ${count} requests in 4 s, stated ${perS.toFixed(1)} a second`,
+      );
+      break;
+    }
+  }
+  worker.stateNothing();
+};
+
+/** A worker that says in its responses that it leaves, before its entry does. */
+const leaveUnlisted: VmFault = async (vm, {mesh, broken}) => {
+  const {worker} = vm;
+  worker.stateLeaving();
+  await pause(DRAIN_MS + CONTACT_MS);
+  const late = worker.toldArrivals.find(
+    arrival =>
+      arrival.atMs - arrival.toldMs > DRAIN_MS && isBound(mesh, arrival),
+  );
+  if (late) {
+    broken(
+      `worker ${worker.id} got a request from vm-${late.vmIndex} ${Math.round(late.atMs - late.toldMs)} ms after it had passed on that it leaves`,
+    );
+  }
+  const {id} = worker;
+  vm.cutMs = performance.now();
+  await worker.crash();
+  mesh.store.removeWorker(id);
+  await mesh.startWorker(vm);
+};
+
 const spoil =
   (mood: WorkerMood): VmFault =>
   async (vm, {random}) => {
@@ -216,6 +271,8 @@
   },
   crashWorker: {run: crashWorker, isWorkerOnly: true},
   drainWorker: {run: drainWorker, isWorkerOnly: true},
+  limitWorker: {run: limitWorker, isWorkerOnly: true},
+  leaveUnlisted: {run: leaveUnlisted, isWorkerOnly: true},
   loseAnswers: {run: spoil('losing'), isWorkerOnly: true},
   cutAnswers: {run: spoil('cutting'), isWorkerOnly: true},
   doubleAnswers: {run: spoil('doubling'), isWorkerOnly: true},
--- a/testing/soak/src/soak_mesh.ts
+++ b/testing/soak/src/soak_mesh.ts
@@ -148,7 +148,7 @@
       slots: SLOTS,
       isLeaving,
       coldRemainingMs: 0,
-      bornMs: Date.now(),
+      bornMs: vm.worker.bornMs,
     };
   }
 
--- a/testing/soak/src/soak_worker.ts
+++ b/testing/soak/src/soak_worker.ts
@@ -12,6 +12,15 @@
 export type WorkerMood =
   'sound' | 'losing' | 'cutting' | 'doubling' | 'failing';
 
+/** A request that reached a worker after its VM had been told of a statement. */
+export interface ToldArrival {
+  /** VM at which the request began. */
+  vmIndex: number;
+  /** When that VM passed on the first such response, on `performance.now`. */
+  toldMs: number;
+  atMs: number;
+}
+
 /** Options of `SoakWorker`. */
 export interface SoakWorkerOptions {
   host: string;
@@ -26,6 +35,11 @@
 export class SoakWorker {
   mood: WorkerMood = 'sound';
   id = '';
+  bornMs = 0;
+  /** Arrivals since the worker began to state something. */
+  toldArrivals: ToldArrival[] = [];
+  readonly #told = new Map<number, number>();
+  #statement: http.OutgoingHttpHeaders = {};
   readonly #options: SoakWorkerOptions;
   #server?: http.Server;
   #running = 0;
@@ -40,6 +54,8 @@
 
   async start(id: string): Promise<void> {
     this.id = id;
+    this.bornMs = Date.now();
+    this.stateNothing();
     this.#running = 0;
     const server = http.createServer((request, response) => {
       request.resume();
@@ -51,6 +67,20 @@
     });
   }
 
+  /** States in all responses how many requests a second it accepts. */
+  stateLimit(perS: number): void {
+    this.#state({[wireHeaders.workerRateLimit]: perS.toFixed(1)});
+  }
+
+  /** States in all responses that it is about to exit. */
+  stateLeaving(): void {
+    this.#state({[wireHeaders.workerLeaving]: '1'});
+  }
+
+  stateNothing(): void {
+    this.#state({});
+  }
+
   /** Ends at once, with all that runs. */
   async crash(): Promise<void> {
     const server = this.#server;
@@ -63,6 +93,32 @@
     }
   }
 
+  #state(statement: http.OutgoingHttpHeaders): void {
+    this.#statement = statement;
+    this.#told.clear();
+    this.toldArrivals = [];
+  }
+
+  /** Notes which VMs have passed on a statement, and what they send after it. */
+  #recordArrival(id: string, response: http.ServerResponse): void {
+    const statement = this.#statement;
+    if (Object.keys(statement).length === 0) {
+      return;
+    }
+    const vmIndex = Number.parseInt(id, 10);
+    const atMs = performance.now();
+    const toldMs = this.#told.get(vmIndex);
+    if (toldMs !== undefined) {
+      this.toldArrivals.push({vmIndex, toldMs, atMs});
+    }
+    response.once('finish', () => {
+      const isSame = statement === this.#statement;
+      if (isSame && response.statusCode === 200 && !this.#told.has(vmIndex)) {
+        this.#told.set(vmIndex, performance.now());
+      }
+    });
+  }
+
   #run(request: http.IncomingMessage, response: http.ServerResponse): void {
     const id = request.headers[wireHeaders.requestId] as string | undefined;
     if (id === undefined) {
@@ -74,6 +130,10 @@
       reject(response, 421);
       return;
     }
+    for (const [name, value] of Object.entries(this.#statement)) {
+      response.setHeader(name, value!);
+    }
+    this.#recordArrival(id, response);
     if (this.#running >= this.#options.slots) {
       reject(response, 503);
       return;
