fix(mesh): order revisions of a restored store by its era

Cause: revisions were compared without the history that they belong to. MeshState dropped each full read of the restored store, because its revision was lower, and the watch went on from the old one.

A watch whose response is of another era counts as lost history, also when the revision exists again. At the first revision of a new era removals are held as after an outage, however short it was. An entry of the copy replaces or brings back a worker only if it is a later report of the worker itself (start time and report number). The version in force still never goes back. The stand-in of the store learns to go back to a copy, and the soak plays it.

--- a/config/mesh/src/mesh_source.ts
+++ b/config/mesh/src/mesh_source.ts
@@ -1,5 +1,5 @@
 import type {MeshChanges, MeshSnapshot} from './mesh_state.js';
-import type {SourceRevision} from './mesh_worker.js';
+import type {SourceRevision} from './source_revision.js';
 
 /**
  * The configuration source: the store that publishes the configuration and the
--- a/config/mesh/src/mesh_state.ts
+++ b/config/mesh/src/mesh_state.ts
@@ -5,19 +5,18 @@
   type ConfigDelta,
 } from './config_delta.js';
 import type {MeshConfig} from './mesh_config.js';
-import type {MeshWorker, SourceRevision, WorkerId} from './mesh_worker.js';
+import type {MeshWorker, WorkerId} from './mesh_worker.js';
 import {RouteTable} from './route_table.js';
+import {eraOf, type SourceRevision} from './source_revision.js';
+import {
+  isFromCopy,
+  type WorkerChange,
+  type WorkerEntry,
+} from './worker_entry.js';
 
 const MAX_RECENT_CONFIGS = 16; // the changes of one second when the users' operators publish at their fastest
 const REMOVED_TTL_MS = 60_000; // several times as long as the users' store keeps its history
 
-/** A change of a worker's entry; `worker` is absent when the entry was removed. */
-export interface WorkerChange {
-  id: WorkerId;
-  revision: SourceRevision;
-  worker?: MeshWorker;
-}
-
 /** Changes of the source up to and including one revision. */
 export interface MeshChanges {
   revision: SourceRevision;
@@ -71,21 +70,16 @@
   | {kind: 'config'; version: number}
   | {kind: 'worker'; worker: MeshWorker}
   | {kind: 'workerRemoved'; id: WorkerId}
-  | {kind: 'removalHeld'; id: WorkerId};
-
-interface WorkerEntry {
-  revision: SourceRevision;
-  worker?: MeshWorker;
-  /** Sequence number of the entry's last change, counted by this process. */
-  sequence: number;
-  /** Monotonic time at which the entry was removed, in ms. */
-  removedMs?: number;
-}
+  | {kind: 'removalHeld'; id: WorkerId}
+  | {kind: 'restoredEntryIgnored'; id: WorkerId}
+  /** The source was restored from an older copy. */
+  | {kind: 'sourceRestored'; era: number};
 
 /**
  * The newest configuration and worker entries that this process has received,
  * from the source or from peers. Neither the configuration nor an entry is ever
- * replaced by an older one.
+ * replaced by an older one, also when the source is restored from an older copy:
+ * the configuration's version and the worker's own report number decide then.
  */
 export class MeshState {
   readonly #options: MeshStateOptions;
@@ -170,9 +164,7 @@
   /** Applies changes; those that are older than the state are ignored. */
   applyChanges(changes: MeshChanges): void {
     // Set first, so that `onChange` sees the revision that brought the change.
-    if (changes.revision > this.#revision) {
-      this.#revision = changes.revision;
-    }
+    this.#advanceTo(changes.revision);
     changes.intermediateConfigs?.forEach(config =>
       this.#addRecentConfig(config),
     );
@@ -188,6 +180,7 @@
     if (snapshot.revision < this.#revision) {
       return;
     }
+    this.#advanceTo(snapshot.revision);
     const present = new Set(snapshot.workers.map(change => change.id));
     for (const [id, entry] of this.#byId) {
       if (entry.worker && !present.has(id)) {
@@ -251,6 +244,23 @@
     return isApplied;
   }
 
+  #advanceTo(revision: SourceRevision): void {
+    if (revision <= this.#revision) {
+      return;
+    }
+    const isRestored =
+      this.#revision > 0 && eraOf(revision) > eraOf(this.#revision);
+    this.#revision = revision;
+    if (isRestored) {
+      // The copy lacks the entries of workers that were registered after it.
+      this.startRemovalGracePeriod();
+      this.#options.onChange?.({
+        kind: 'sourceRestored',
+        era: eraOf(revision),
+      });
+    }
+  }
+
   #configSince(
     version: number,
     acceptsWhole: boolean,
@@ -306,6 +316,10 @@
     if (previous && previous.revision >= change.revision) {
       return;
     }
+    if (previous && isFromCopy(previous, change)) {
+      this.#options.onChange?.({kind: 'restoredEntryIgnored', id: change.id});
+      return;
+    }
     if (!change.worker && previous?.worker && this.#isInGracePeriod()) {
       this.#heldRemovals.set(change.id, change.revision);
       this.#options.onChange?.({kind: 'removalHeld', id: change.id});
@@ -316,11 +330,20 @@
   }
 
   #setEntry(change: WorkerChange): void {
-    const wasPresent = this.#byId.get(change.id)?.worker !== undefined;
+    const previous = this.#byId.get(change.id);
+    const wasPresent = previous?.worker !== undefined;
     const {revision, worker} = change;
     const removedMs = worker ? undefined : this.#options.clock.monotonicMs();
-    const sequence = ++this.#sequence;
-    this.#byId.set(change.id, {revision, worker, sequence, removedMs});
+    const removedWorker = worker
+      ? undefined
+      : (previous?.worker ?? previous?.removedWorker);
+    this.#byId.set(change.id, {
+      revision,
+      worker,
+      removedWorker,
+      sequence: ++this.#sequence,
+      removedMs,
+    });
     if (change.worker) {
       this.#options.onChange?.({kind: 'worker', worker: change.worker});
     } else if (wasPresent) {
--- a/config/mesh/src/mesh_worker.ts
+++ b/config/mesh/src/mesh_worker.ts
@@ -3,8 +3,6 @@
 
 /** Identifier of a worker; usually new after each start. */
 export type WorkerId = Brand<string, 'WorkerId'>;
-/** Revision of the source; increases with each change. */
-export type SourceRevision = Brand<number, 'SourceRevision'>;
 
 /** A worker, as its entry in the source describes it. */
 export interface MeshWorker {
@@ -20,6 +18,11 @@
   coldRemainingMs: number;
   /** Wall time at which this incarnation started, in ms since the epoch; 0 when not stated. */
   bornMs: number;
+  /**
+   * Counts the worker's reports since its start; the entry is the report with
+   * this number. Absent when the entry does not state it.
+   */
+  reportNumber?: number;
 }
 
 /** IP address of the VM that a worker runs on. */
--- a/core/http_get/src/http_get.ts
+++ b/core/http_get/src/http_get.ts
@@ -18,6 +18,7 @@
 /** A complete response. */
 export interface HttpGetResult {
   status: number;
+  headers: http.IncomingHttpHeaders;
   body: Buffer;
 }
 
@@ -51,7 +52,8 @@
         isComplete = true;
         clearTimeout(timer);
         const status = response.statusCode ?? 0;
-        resolve({status, body: Buffer.concat(chunks)});
+        const {headers} = response;
+        resolve({status, headers, body: Buffer.concat(chunks)});
       });
       response.on('error', fail);
       response.on('aborted', () => fail(new Error('response was incomplete')));
--- a/core/metrics/src/relay_metrics.ts
+++ b/core/metrics/src/relay_metrics.ts
@@ -58,6 +58,11 @@
     help: 'Version of the active configuration.',
     labels: [],
   },
+  carobseam_relay_source_era: {
+    type: 'gauge',
+    help: 'Era of the store after it was last restored from a copy; 0 when this relay has not seen that.',
+    labels: [],
+  },
   carobseam_relay_vms_down: {
     type: 'gauge',
     help: 'VMs that this relay cannot reach now.',
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -36,6 +36,7 @@
 import {listen} from './listen.js';
 import {RequestRecorder} from './request_recorder.js';
 import {ShutdownSchedule} from './shutdown_schedule.js';
+import {StateChangeRecorder} from './state_change_recorder.js';
 
 const MIN_DATA_CENTRE_PEERS = 6; // if the store refuses a third of them, one of two polled peers has newer state 9 times in 10
 const REMOVAL_GRACE_MS = 2200; // after an outage of the store, running workers are registered again within about 2 s
@@ -73,6 +74,7 @@
 export class Relay {
   readonly #options: RelayOptions;
   readonly #state: MeshState;
+  readonly #stateRecorder: StateChangeRecorder;
   readonly #workerLoads: WorkerLoads;
   readonly #peerHealth: PeerHealth;
   readonly #peerPools: PeerPools;
@@ -96,6 +98,7 @@
     const isRefusingNewRequests = () => this.#shutdown.isRefusingNewRequests;
     const shutdownDeadlineMs = () => this.#shutdown.deadlineMs;
     this.#options = options;
+    this.#stateRecorder = new StateChangeRecorder(log, metrics);
     this.#shutdown = new ShutdownSchedule(clock, settings.graceS * 1000);
     this.#state = new MeshState({
       clock,
@@ -274,31 +277,13 @@
   }
 
   #handleStateChange(change: MeshStateChange): void {
-    const {log, metrics} = this.#options;
-    const revision = this.#state.revision;
+    this.#stateRecorder.record(change, this.#state.revision);
     if (change.kind === 'config') {
-      metrics.set('carobseam_relay_config_version', change.version);
-      log.logger.info('config_in_force', {version: change.version, revision});
       this.#applyLimits();
     } else if (change.kind === 'worker') {
-      const {worker} = change;
-      log.logger.info('worker_seen', {
-        worker: worker.id,
-        service: worker.service,
-        dataCentre: worker.dataCentre,
-        isLeaving: worker.isLeaving,
-        coldRemainingMs: worker.coldRemainingMs,
-        revision,
-      });
-      this.#workerLoads.clearAddressStale(worker.id);
-    } else {
-      log.logger.info(
-        change.kind === 'workerRemoved' ? 'worker_removed' : 'removal_held',
-        {worker: change.id, revision},
-      );
-      if (change.kind === 'workerRemoved') {
-        this.#workerLoads.remove(change.id);
-      }
+      this.#workerLoads.clearAddressStale(change.worker.id);
+    } else if (change.kind === 'workerRemoved') {
+      this.#workerLoads.remove(change.id);
     }
   }
 
--- /dev/null
+++ b/daemon/relay/src/state_change_recorder.ts
@@ -0,0 +1,53 @@
+import type {MeshStateChange, SourceRevision} from '@carobseam/config.mesh';
+import type {LogFields} from '@carobseam/core.logger';
+import type {Metrics} from '@carobseam/core.metrics';
+import type {RateLimitedLog} from './rate_limited_log.js';
+
+type ChangeOfKind<Kind extends MeshStateChange['kind']> = Extract<
+  MeshStateChange,
+  {kind: Kind}
+>;
+
+const LINES: {
+  [Kind in MeshStateChange['kind']]: (
+    change: ChangeOfKind<Kind>,
+  ) => [event: string, fields: LogFields];
+} = {
+  config: ({version}) => ['config_in_force', {version}],
+  worker: ({worker}) => [
+    'worker_seen',
+    {
+      worker: worker.id,
+      service: worker.service,
+      dataCentre: worker.dataCentre,
+      isLeaving: worker.isLeaving,
+      coldRemainingMs: worker.coldRemainingMs,
+    },
+  ],
+  workerRemoved: ({id}) => ['worker_removed', {worker: id}],
+  removalHeld: ({id}) => ['removal_held', {worker: id}],
+  restoredEntryIgnored: ({id}) => ['restored_entry_ignored', {worker: id}],
+  sourceRestored: ({era}) => ['source_restored', {era}],
+};
+
+/** Records the changes of the mesh state in the log and in the metrics. */
+export class StateChangeRecorder {
+  readonly #log: RateLimitedLog;
+  readonly #metrics: Metrics;
+
+  constructor(log: RateLimitedLog, metrics: Metrics) {
+    this.#log = log;
+    this.#metrics = metrics;
+  }
+
+  /** @param revision revision of the source that brought the change. */
+  record(change: MeshStateChange, revision: SourceRevision): void {
+    const [event, fields] = LINES[change.kind](change as never);
+    this.#log.logger.info(event, {...fields, revision});
+    if (change.kind === 'config') {
+      this.#metrics.set('carobseam_relay_config_version', change.version);
+    } else if (change.kind === 'sourceRestored') {
+      this.#metrics.set('carobseam_relay_source_era', change.era);
+    }
+  }
+}
--- a/fleet/follower/src/source_follower.ts
+++ b/fleet/follower/src/source_follower.ts
@@ -54,6 +54,8 @@
   #needsFullRead = true;
   #wasFollowingReaders = false;
   #fullReadsUntilMs = -Infinity;
+  /** Whether the source lacked the history at the last watch. */
+  #isHistoryLost = false;
   #failureCount = 0;
   #failingSinceMs = 0;
   #peerRoundTimer?: Timer;
@@ -116,13 +118,19 @@
     const changes = await source.watch(state.revision, waitMs);
     this.#endOutage();
     if (!changes) {
+      const isRepeated = this.#isHistoryLost;
+      this.#isHistoryLost = true;
       logger.warn('source_history_lost', {
         revision: state.revision,
         outcome: 'reads everything',
       });
       this.#needsFullRead = true;
+      if (isRepeated) {
+        await this.#sleep(BATCH_MS);
+      }
       return;
     }
+    this.#isHistoryLost = false;
     state.applyChanges(changes);
     this.#options.onContact?.();
     if (
--- a/fleet/follower/test/source_follower.test.ts
+++ b/fleet/follower/test/source_follower.test.ts
@@ -1,5 +1,6 @@
 import {
   MeshState,
+  toSourceRevision,
   type MeshChanges,
   type MeshSnapshot,
   type MeshSource,
@@ -179,4 +180,27 @@
     );
     expect(polledPeers).to.deep.equal([]);
   });
+
+  it('guards against dropping the state of a source that was restored from a copy', async () => {
+    const historyLost: ScriptedResponse = () => Promise.resolve(undefined);
+    const restored = toSourceRevision(2, 9);
+    const {state, source} = await runFollower(
+      [
+        respondWith(toSourceRevision(1, 17), 11),
+        historyLost,
+        respondWith(restored, 14),
+      ],
+      1000,
+    );
+    expect(state.config?.version).to.equal(14);
+    expect(source.watches.at(-1)).to.equal(restored);
+  });
+
+  it('guards against reading a source in a loop that lacks the history again and again', async () => {
+    const responses = Array.from({length: 200}, (_, n) =>
+      n % 2 === 0 ? respondWith(4, 1) : () => Promise.resolve(undefined),
+    );
+    const {source} = await runFollower(responses, 2000);
+    expect(source.reads).to.be.below(10);
+  });
 });
--- a/testing/soak/src/soak_faults.ts
+++ b/testing/soak/src/soak_faults.ts
@@ -156,7 +156,8 @@
 
 const drainWorker: VmFault = async (vm, {mesh, broken, lastRunMs}) => {
   const {id} = vm.worker;
-  mesh.store.putWorker(mesh.entryOf(vm, true));
+  vm.worker.isDraining = true;
+  mesh.store.putWorker(mesh.entryOf(vm));
   const leavesMs = performance.now();
   await pause(DRAIN_MS + SERVE_ON_MS);
   const lateMs = lastRunMs(id) - leavesMs - DRAIN_MS;
@@ -289,6 +290,24 @@
     mesh.storeFaultMs = performance.now();
   };
 
+/** Restores the store from a copy, after an outage that may be unnoticeable. */
+const restoreStore: MeshFault = async ({mesh, random}) => {
+  const restores = 1 + random.nextInt(MAX_RESTORES);
+  for (let count = 0; count < restores; count++) {
+    const copy = mesh.store.copy();
+    await pause(between(random, 0, MAX_COPY_AGE_MS));
+    mesh.storeFaultMs = Infinity;
+    mesh.store.mode = 'resetting';
+    await pause(random.nextInt(2) * faultMs(random));
+    mesh.store.mode = 'serving';
+    await mesh.restoreStore(copy);
+    mesh.storeFaultMs = performance.now();
+  }
+};
+
+const MAX_RESTORES = 2;
+const MAX_COPY_AGE_MS = 4000; // covers a change of the configuration and some of the workers
+
 const stormConfig: MeshFault = async ({mesh}) => {
   for (let change = 0; change < STORM_CHANGES; change++) {
     mesh.changeConfig();
@@ -305,6 +324,7 @@
   storeResets: awayStore('resetting'),
   storeSilent: awayStore('silent'),
   compact: ({mesh}) => Promise.resolve(mesh.store.compact()),
+  restoreStore,
   stormConfig,
   /** Stops one relay after the other while others lack processor time. */
   rollStarved: async context => {
--- a/testing/soak/src/soak_mesh.ts
+++ b/testing/soak/src/soak_mesh.ts
@@ -12,7 +12,7 @@
   ServiceName,
 } from '@carobseam/core.types';
 import {splitAddress} from '@carobseam/core.net';
-import {StoreStandIn} from '@carobseam/platform.store_stand_in';
+import {StoreStandIn, type StoreCopy} from '@carobseam/platform.store_stand_in';
 import {ProcessHandle} from '@carobseam/testing.fixtures';
 import {closeSync, mkdtempSync, openSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
@@ -28,6 +28,7 @@
 );
 const SLOTS = 8;
 const START_GAP_MS = 100; // a hundred relays that start at once exhaust the processor
+const REWRITE_MS = 1500; // after a restore; the users grant about two seconds
 const SERVICE = 'desk' as ServiceName;
 const WIDE_MBPS = 100;
 const THIN_MBPS = 5;
@@ -117,6 +118,10 @@
   /** Puts the next version in force: only its own probe route exists. */
   changeConfig(): void {
     this.version++;
+    this.#putConfig();
+  }
+
+  #putConfig(): void {
     const config: MeshConfig = {
       version: this.version as ConfigVersion,
       routes: [
@@ -134,19 +139,39 @@
     this.store.putConfig(config);
   }
 
+  /** Restores the store; then operators and living workers write again. */
+  async restoreStore(copy: StoreCopy): Promise<void> {
+    this.store.restore(copy);
+    const {random} = this.#options;
+    const copiedIds = this.store.workerIds();
+    await Promise.all([
+      pause(random.nextFloat() * REWRITE_MS).then(() => this.#putConfig()),
+      ...this.vms.map(async vm => {
+        await pause(random.nextFloat() * REWRITE_MS);
+        if (vm.worker.isUp) {
+          this.store.putWorker(this.entryOf(vm));
+        }
+      }),
+    ]);
+    const livingIds = new Set(this.vms.map(vm => vm.worker.id));
+    copiedIds
+      .filter(id => !livingIds.has(id))
+      .forEach(id => this.store.removeWorker(id));
+  }
+
   async startWorker(vm: SoakVm): Promise<void> {
     await vm.worker.start(`i-${vm.index}-${++this.#incarnations}`);
-    this.store.putWorker(this.entryOf(vm, false));
+    this.store.putWorker(this.entryOf(vm));
   }
 
-  entryOf(vm: SoakVm, isLeaving: boolean): MeshWorker {
+  entryOf(vm: SoakVm): MeshWorker {
     return {
       id: vm.worker.id as WorkerId,
       service: SERVICE,
       address: `${publicHost(vm.index)}:${this.#options.basePort}`,
       dataCentre: 'wien' as DataCentreName,
       slots: SLOTS,
-      isLeaving,
+      isLeaving: vm.worker.isDraining,
       coldRemainingMs: 0,
       bornMs: vm.worker.bornMs,
     };
--- a/testing/soak/src/soak_worker.ts
+++ b/testing/soak/src/soak_worker.ts
@@ -36,6 +36,8 @@
   mood: WorkerMood = 'sound';
   id = '';
   bornMs = 0;
+  /** Whether its entry says that it leaves. */
+  isDraining = false;
   /** Arrivals since the worker began to state something. */
   toldArrivals: ToldArrival[] = [];
   readonly #told = new Map<number, number>();
@@ -55,6 +57,7 @@
   async start(id: string): Promise<void> {
     this.id = id;
     this.bornMs = Date.now();
+    this.isDraining = false;
     this.stateNothing();
     this.#running = 0;
     const server = http.createServer((request, response) => {
