--- a/testing/soak/src/soak_faults.ts
+++ b/testing/soak/src/soak_faults.ts
@@ -296,6 +296,13 @@
   for (let count = 0; count < restores; count++) {
     const copy = mesh.store.copy();
     await pause(between(random, 0, MAX_COPY_AGE_MS));
+    for (
+      let reports = random.nextInt(MAX_LOST_REPORTS);
+      reports > 0;
+      reports--
+    ) {
+      mesh.reportWorkers();
+    }
     mesh.storeFaultMs = Infinity;
     mesh.store.mode = 'resetting';
     await pause(random.nextInt(2) * faultMs(random));
@@ -306,6 +313,7 @@
 };
 
 const MAX_RESTORES = 2;
+const MAX_LOST_REPORTS = 6; // of each worker; more than are written again, so that the revision stays behind
 const MAX_COPY_AGE_MS = 4000; // covers a change of the configuration and some of the workers
 
 const stormConfig: MeshFault = async ({mesh}) => {
--- a/testing/soak/src/soak_mesh.ts
+++ b/testing/soak/src/soak_mesh.ts
@@ -159,6 +159,13 @@
       .forEach(id => this.store.removeWorker(id));
   }
 
+  /** Has all living workers write their entries. */
+  reportWorkers(): void {
+    this.vms
+      .filter(vm => vm.worker.isUp)
+      .forEach(vm => this.store.putWorker(this.entryOf(vm)));
+  }
+
   async startWorker(vm: SoakVm): Promise<void> {
     await vm.worker.start(`i-${vm.index}-${++this.#incarnations}`);
     this.store.putWorker(this.entryOf(vm));
