fix(relay): remember that a worker leaves whose entry has lapsed

Callers saw nothing. Cause: the gate ignores statements of workers that are gone, because another worker may use the address, and told the entry relay nothing. Change: the response itself says whether its worker leaves, and the entry relay marks it. Evidence: the new test fails without the change.

--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -19,7 +19,11 @@
 import {wireHeaders} from '@carobseam/platform.adapter';
 import {Readable} from 'node:stream';
 import type {HopVerdict} from './hop_message.js';
-import {WorkerStatements, type WorkerStatement} from './worker_statement.js';
+import {
+  decodeWorkerStatement,
+  WorkerStatements,
+  type WorkerStatement,
+} from './worker_statement.js';
 
 const INITIAL_SLOTS = 8; // of the smallest worker in the users' specification; used until the worker's entry is read
 const EXPIRY_MARGIN_MS = 100; // so that a refusal reaches the caller before its deadline
@@ -95,6 +99,8 @@
   submittedMs: number;
   startedMs?: number;
   exchange?: Exchange;
+  /** Whether the response to it states that the worker is about to exit. */
+  statesLeaving?: boolean;
   /** Body that is still being delivered. */
   stream?: Readable;
   expiryTimer?: Timer;
@@ -285,7 +291,7 @@
       headers: [...request.headers, wireHeaders.deadlineMs, String(deadlineMs)],
       body: request.body,
       requestId: request.requestId,
-      onHead: head => this.#recordHead(request.worker, head),
+      onHead: head => this.#recordHead(pending, head),
       // On a reused connection an idle close or a late response to an earlier
       // request could leave it unknown whether the worker ran the request,
       // and a request that is not idempotent could then not be retried.
@@ -299,7 +305,9 @@
     });
   }
 
-  #recordHead(id: WorkerId, head: ReceivedHead): void {
+  #recordHead(pending: PendingRequest, head: ReceivedHead): void {
+    const id = pending.request.worker;
+    pending.statesLeaving ||= decodeWorkerStatement(head.headers).isLeaving;
     if (this.#options.isGone(id)) {
       return;
     }
@@ -352,7 +360,8 @@
     const nowMs = this.#options.clock.monotonicMs();
     result.waitedMs = (startedMs ?? nowMs) - submittedMs;
     result.ranMs = startedMs === undefined ? undefined : nowMs - startedMs;
-    result.isWorkerLeaving = this.#isLeaving(pending.request.worker);
+    result.isWorkerLeaving =
+      pending.statesLeaving === true || this.#isLeaving(pending.request.worker);
     pending.resolve(result);
   }
 
--- a/calls/relay/test/worker_statement.test.ts
+++ b/calls/relay/test/worker_statement.test.ts
@@ -29,6 +29,8 @@
   gate: WorkerGate;
   worker: MeshWorker;
   statements: WorkerStatement[];
+  /** Workers whose entries were removed. */
+  goneIds: Set<WorkerId>;
   /** Times at which requests reached the worker, in ms. */
   arrivals: number[];
   /** The worker's next responses; the last one is repeated. */
@@ -60,6 +62,7 @@
   const worker = {...createWorker(address), slots: 20, bornMs: 1};
   const clock = new SystemClock();
   const statements: WorkerStatement[] = [];
+  const goneIds = new Set<WorkerId>();
   const gate = new WorkerGate({
     clock,
     workerAddress: address,
@@ -67,7 +70,7 @@
     idleTtlMs: 4000,
     maxIdle: 4,
     drainMs: DRAIN_MS,
-    isGone: id => id === 'i-old',
+    isGone: id => id === 'i-old' || goneIds.has(id),
     onConnection: () => {},
     onStatement: (_id, statement) => statements.push(statement),
   });
@@ -89,7 +92,7 @@
       ...overrides,
     }).result;
   try {
-    await run({gate, worker, statements, arrivals, responses, submit});
+    await run({gate, worker, statements, goneIds, arrivals, responses, submit});
   } finally {
     gate.close();
     await new Promise<void>(resolve => {
@@ -218,4 +221,13 @@
       expect(result.isWorkerLeaving).to.equal(false);
     });
   });
+
+  it('guards against missing that a worker leaves whose entry has lapsed', async () => {
+    await withGate(async ({worker, goneIds, responses, submit}) => {
+      responses[0] = {headers: LEAVING};
+      const running = submit();
+      goneIds.add(worker.id);
+      expect((await running).isWorkerLeaving).to.equal(true);
+    });
+  });
 });
