fix(mesh): keep a held removal that the copy of a restored store undoes

A worker whose removal is held back after an outage was kept for as long as the copy's entry, if the store was then restored. Cause: the entry of the copy was compared with the known one as if that were not about to be removed. Change: a held removal counts as a removal in that comparison. Evidence: the new test fails without the change (i-2 stays).

--- a/config/mesh/src/mesh_state.ts
+++ b/config/mesh/src/mesh_state.ts
@@ -316,7 +316,8 @@
     if (previous && previous.revision >= change.revision) {
       return;
     }
-    if (previous && isFromCopy(previous, change)) {
+    const isRemoved = !previous?.worker || this.#heldRemovals.has(change.id);
+    if (previous && isFromCopy(previous, change, isRemoved)) {
       this.#options.onChange?.({kind: 'restoredEntryIgnored', id: change.id});
       return;
     }
--- a/config/mesh/src/worker_entry.ts
+++ b/config/mesh/src/worker_entry.ts
@@ -24,10 +24,13 @@
  * Whether an entry is older than the known one, although its revision is newer:
  * a restored source sends the entries of the copy as new ones until their
  * workers have written again.
+ *
+ * @param isRemoved whether the known entry was removed, or is to be removed.
  */
 export function isFromCopy(
   previous: WorkerEntry,
   change: WorkerChange,
+  isRemoved: boolean,
 ): boolean {
   const known = previous.worker ?? previous.removedWorker;
   const {worker} = change;
@@ -42,7 +45,7 @@
   if (reportNumber === undefined || known.reportNumber === undefined) {
     return false;
   }
-  return previous.worker
-    ? reportNumber < known.reportNumber
-    : reportNumber <= known.reportNumber;
+  return isRemoved
+    ? reportNumber <= known.reportNumber
+    : reportNumber < known.reportNumber;
 }
--- a/config/mesh/test/restored_source.test.ts
+++ b/config/mesh/test/restored_source.test.ts
@@ -130,6 +130,15 @@
     expect(ids()).to.have.members([W1.id, W2.id]);
   });
 
+  it('guards against a removal that is still held back and that the copy undoes', () => {
+    const {clock, state, read, watch, ids} = createState({workers: [W1, W2]});
+    state.startRemovalGracePeriod();
+    watch(1, 21, {removed: [W2.id]});
+    read(2, 9, {workers: [W1, W2]});
+    clock.advance(GRACE_MS + 100);
+    expect(ids()).to.deep.equal([W1.id]);
+  });
+
   it('guards against ignoring a later start of a worker with the same id', () => {
     const {state, read} = createState({workers: [W1]});
     read(2, 9, {workers: [{...W1, bornMs: 7, reportNumber: 1}]});
