feat(relay): show the rate limit behind a refusal at the gate

Cause: gate_decision gave slots and queue only, so that a refusal for the rate that a worker states looked like a full worker. Result: tests of the gate and of the inbound handler pass; no decision changes.

--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -174,6 +174,7 @@
       running: load.running,
       queued: load.queued.join(),
       serviceMs: Math.round(load.meanServiceMs),
+      rateLimitPerS: load.rateLimit?.perS,
     });
   }
 
