feat(relay): measure how long new connections wait to be read

Logs and metrics could not tell the hypotheses about GONE apart: the delay of the event loop is short when connections wait, because the loop accepts one of them in each turn, and a request's times start when it is read.

The relay now opens a connection to itself while its event loop is never idle, 50 ms after the last one. Connections are accepted in order, so it waits as long as those of callers. The delay is in carobseam_relay_read_delay_seconds, in the line read_delayed from 200 ms on, and as readDelayMs in request_ended. No probe is made while the loop has idle time.

Test: with 200 callers at once and 4 ms of work each, every estimate for a connection that waited over 400 ms is within half and one and a half of its wait.

--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -7,6 +7,7 @@
 import type {DispatchedRequest, DispatchResult} from './dispatched_request.js';
 import {forwardedHeaders} from './forwarded_headers.js';
 import {hopHeaders} from './hop_message.js';
+import {roundMs} from './log_times.js';
 import {BodyTooLargeError, readBody} from './read_body.js';
 import type {RelayContext} from './relay_context.js';
 import {RequestDispatcher} from './request_dispatcher.js';
@@ -35,6 +36,8 @@
   readonly #abortCallbacks = new Set<() => void>();
   #activeCount = 0;
 
+  readonly #readDelays = new WeakMap<IncomingMessage, number>();
+
   constructor(context: RelayContext) {
     this.#context = context;
   }
@@ -56,6 +59,7 @@
     this.#activeCount++;
     response.sendDate = false;
     response.once('close', () => this.#activeCount--);
+    this.#readDelays.set(request, this.#context.readDelayOf(request));
     const arrivedMs = this.#context.clock.monotonicMs();
     this.#serve(request, response, arrivedMs).catch(error => {
       const isTooLarge = error instanceof BodyTooLargeError;
@@ -280,6 +284,7 @@
     const durationMs = this.#context.clock.monotonicMs() - arrivedMs;
     this.#context.log.requestEnded(outcome, durationMs, {
       id: headerOf(request, wireHeaders.requestId),
+      readDelayMs: roundMs(this.#readDelays.get(request)),
       ...fields,
     });
   }
--- a/calls/relay/src/relay_context.ts
+++ b/calls/relay/src/relay_context.ts
@@ -7,6 +7,7 @@
   RandomSource,
   ServiceName,
 } from '@carobseam/core.types';
+import type {IncomingMessage} from 'node:http';
 import type {CallerDeadlineTracker} from './caller_deadline_tracker.js';
 import type {PeerHealth} from './peer_health.js';
 import type {PeerPools} from './peer_pools.js';
@@ -26,6 +27,8 @@
   peerPools: PeerPools;
   workerGate: WorkerGate;
   callerDeadlines: CallerDeadlineTracker;
+  /** Estimates how long a caller's request has waited until it was read, in ms. */
+  readDelayOf: (request: IncomingMessage) => number;
   log: RequestLog;
   dataCentre: DataCentreName;
   /** Service of the local worker. */
--- a/core/metrics/src/relay_metrics.ts
+++ b/core/metrics/src/relay_metrics.ts
@@ -74,4 +74,10 @@
     labels: [],
     buckets: [0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5],
   },
+  carobseam_relay_read_delay_seconds: {
+    type: 'histogram',
+    help: 'Time until the first request on a new connection is read, measured by connections of the relay to itself while its event loop is never idle, by listener.',
+    labels: ['listener'],
+    buckets: [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5],
+  },
 } as const satisfies MetricTable;
--- /dev/null
+++ b/daemon/relay/src/peer_directory.ts
@@ -0,0 +1,63 @@
+import {
+  vmAddressOf,
+  type MeshState,
+  type MeshWorker,
+} from '@carobseam/config.mesh';
+import {splitAddress} from '@carobseam/core.net';
+import type {RelaySettings} from '@carobseam/platform.adapter';
+
+const MIN_DATA_CENTRE_PEERS = 6; // if the store refuses a third of them, one of two polled peers has newer state 9 times in 10
+
+/** Addresses of the other relays, one of which runs next to each worker. */
+export class PeerDirectory {
+  readonly #settings: RelaySettings;
+  readonly #state: MeshState;
+
+  constructor(settings: RelaySettings, state: MeshState) {
+    this.#settings = settings;
+    this.#state = state;
+  }
+
+  /**
+   * Control addresses of the peers to poll while the store is unavailable: those
+   * of this data centre if there are enough of them, otherwise all peers.
+   */
+  addressesToPoll(): string[] {
+    const dataCentrePeers = this.dataCentreAddresses();
+    return dataCentrePeers.length >= MIN_DATA_CENTRE_PEERS
+      ? dataCentrePeers
+      : this.#controlAddresses(
+          this.#state.workers(),
+          this.#settings.seedAddresses,
+        );
+  }
+
+  /** Control addresses of the other relays of this data centre. */
+  dataCentreAddresses(): string[] {
+    const {dataCentre} = this.#settings;
+    const workers = [...this.#state.workers()];
+    return this.#controlAddresses(
+      workers.filter(worker => worker.dataCentre === dataCentre),
+    );
+  }
+
+  /** Addresses of all VMs with a worker. */
+  vmAddresses(): Set<string> {
+    return new Set([...this.#state.workers()].map(vmAddressOf));
+  }
+
+  /** Control addresses of the workers' relays, without that of this relay. */
+  #controlAddresses(
+    workers: Iterable<MeshWorker>,
+    extraAddresses: readonly string[] = [],
+  ): string[] {
+    const {controlAddress} = this.#settings;
+    const {port} = splitAddress(controlAddress);
+    const addresses = new Set(extraAddresses);
+    for (const worker of workers) {
+      addresses.add(`${vmAddressOf(worker)}:${port}`);
+    }
+    addresses.delete(controlAddress);
+    return [...addresses];
+  }
+}
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -5,16 +5,15 @@
   OutboundHandler,
   PeerHealth,
   PeerPools,
+  ReadDelayProbe,
   WorkerGate,
   type PeerChange,
 } from '@carobseam/calls.relay';
 import {ServiceRetryBudgets} from '@carobseam/calls.retries';
 import {
   MeshState,
-  vmAddressOf,
   type MeshSource,
   type MeshStateChange,
-  type MeshWorker,
 } from '@carobseam/config.mesh';
 import type {Metrics} from '@carobseam/core.metrics';
 import {splitAddress} from '@carobseam/core.net';
@@ -34,11 +33,12 @@
 import type {RateLimitedLog} from './rate_limited_log.js';
 import {hasHighBandwidthLink} from './has_high_bandwidth_link.js';
 import {listen} from './listen.js';
+import {PeerDirectory} from './peer_directory.js';
 import {RequestRecorder} from './request_recorder.js';
 import {ShutdownSchedule} from './shutdown_schedule.js';
 import {StateChangeRecorder} from './state_change_recorder.js';
 
-const MIN_DATA_CENTRE_PEERS = 6; // if the store refuses a third of them, one of two polled peers has newer state 9 times in 10
+const LOGGED_READ_DELAY_MS = 200; // two fifths of the shortest target latency of callers
 const REMOVAL_GRACE_MS = 2200; // after an outage of the store, running workers are registered again within about 2 s
 const WORKER_CONNECT_TIMEOUT_MS = 500; // the worker is on the same VM
 const WORKER_IDLE_TTL_MS = 4000; // the users' workers close idle connections after 10 s
@@ -47,6 +47,7 @@
 const KEEP_ALIVE_TIMEOUT_FACTOR = 1.25; // callers reuse a connection until 4/5 of the configured limit
 const INBOUND_KEEP_ALIVE_TIMEOUT_MS = 20_000; // longer than peers keep idle connections in their pools
 const DRAIN_CHECK_INTERVAL_MS = 20; // the longest delay until an idle relay exits
+const MS_PER_S = 1000;
 const HOUSEKEEPING_INTERVAL_MS = 1000; // the longest time for which an expired idle connection stays open
 
 const VM_LOG_EVENTS: Record<PeerChange, string> = {
@@ -79,6 +80,7 @@
   readonly #peerHealth: PeerHealth;
   readonly #peerPools: PeerPools;
   readonly #workerGate: WorkerGate;
+  readonly #peers: PeerDirectory;
   readonly #changeFeed: ChangeFeed;
   readonly #feedClient = new FeedClient();
   readonly #feedEncoder = new FeedEncoder();
@@ -86,6 +88,7 @@
   readonly #sourceFollower: SourceFollower;
   readonly #outbound: OutboundHandler;
   readonly #inbound: InboundHandler;
+  readonly #readDelayProbe: ReadDelayProbe;
   readonly #shutdown: ShutdownSchedule;
   readonly #servers: Server[] = [];
   #outboundServer?: Server;
@@ -106,6 +109,7 @@
       onChange: change => this.#handleStateChange(change),
       onApplied: () => this.#handleStateApplied(),
     });
+    this.#peers = new PeerDirectory(settings, this.#state);
     this.#changeFeed = new ChangeFeed({clock, random, state: this.#state});
     this.#workerLoads = new WorkerLoads(clock, settings.drainMs);
     const inboundPort = splitAddress(settings.inboundAddress).port;
@@ -135,7 +139,7 @@
       fetchFeed,
       canBeReader: hasHighBandwidthLink(settings),
       ownAddress: settings.controlAddress,
-      peerAddresses: () => this.#dataCentrePeerAddresses(),
+      peerAddresses: () => this.#peers.dataCentreAddresses(),
     });
     this.#sourceFollower = new SourceFollower({
       clock,
@@ -143,7 +147,7 @@
       source: options.source,
       state: this.#state,
       logger: log.logger,
-      peerAddresses: () => this.#peerAddresses(),
+      peerAddresses: () => this.#peers.addressesToPoll(),
       fetchFeed,
       readers: this.#readerFollower,
       hasLowBandwidthLink: !hasHighBandwidthLink(settings),
@@ -159,6 +163,11 @@
       isRefusingNewRequests,
       shutdownDeadlineMs,
     });
+    this.#readDelayProbe = new ReadDelayProbe({
+      clock,
+      ...splitAddress(settings.outboundAddress),
+      onDelay: delayMs => this.#recordReadDelay(delayMs),
+    });
     this.#outbound = new OutboundHandler({
       clock,
       random,
@@ -168,6 +177,7 @@
       peerPools: this.#peerPools,
       workerGate: this.#workerGate,
       callerDeadlines: new CallerDeadlineTracker(clock),
+      readDelayOf: request => this.#readDelayProbe.delayOf(request),
       log: recorder,
       dataCentre: settings.dataCentre,
       service: settings.service,
@@ -176,7 +186,7 @@
         clock,
         ratio: settings.retryBudgetRatio,
         slack: settings.retryBudgetSlack,
-        relayCount: () => this.#relayCount(),
+        relayCount: () => this.#peers.vmAddresses().size,
       }),
       isDraining,
       isRefusingNewRequests,
@@ -218,7 +228,14 @@
     inbound.keepAliveTimeout = INBOUND_KEEP_ALIVE_TIMEOUT_MS;
     this.#outboundServer = await listen(
       settings.outboundAddress,
-      (request, response) => this.#outbound.handle(request, response),
+      (request, response) => {
+        if (!this.#readDelayProbe.respond(request, response)) {
+          this.#outbound.handle(request, response);
+        }
+      },
+    );
+    this.#outboundServer.on('connection', socket =>
+      this.#readDelayProbe.connectionAccepted(socket),
     );
     this.#outboundServer.keepAliveTimeout = DEFAULT_KEEP_ALIVE_TIMEOUT_MS;
     this.#servers.push(inbound, this.#outboundServer);
@@ -262,6 +279,7 @@
     this.#feedClient.close();
     this.#housekeepingTimer?.cancel();
     this.#peerHealth.close();
+    this.#readDelayProbe.close();
     for (const server of this.#servers) {
       server.close();
       server.closeAllConnections();
@@ -299,54 +317,23 @@
     );
   }
 
-  #handleVmChange(vmAddress: string, change: PeerChange): void {
+  #recordReadDelay(delayMs: number): void {
     const {log, metrics} = this.#options;
-    metrics.set('carobseam_relay_vms_down', this.#peerHealth.downCount);
-    log.logger.info(VM_LOG_EVENTS[change], {vmAddress});
-  }
-
-  /**
-   * Control addresses of the peers to poll while the store is unavailable: those
-   * of this data centre if there are enough of them, otherwise all peers.
-   */
-  #peerAddresses(): string[] {
-    const {settings} = this.#options;
-    const dataCentrePeers = this.#dataCentrePeerAddresses();
-    return dataCentrePeers.length >= MIN_DATA_CENTRE_PEERS
-      ? dataCentrePeers
-      : this.#controlAddresses(this.#state.workers(), settings.seedAddresses);
-  }
-
-  /** Control addresses of the other relays of this data centre. */
-  #dataCentrePeerAddresses(): string[] {
-    const {dataCentre} = this.#options.settings;
-    const workers = [...this.#state.workers()];
-    return this.#controlAddresses(
-      workers.filter(worker => worker.dataCentre === dataCentre),
-    );
-  }
-
-  /** Control addresses of the workers' relays, without that of this relay. */
-  #controlAddresses(
-    workers: Iterable<MeshWorker>,
-    extraAddresses: readonly string[] = [],
-  ): string[] {
-    const {controlAddress} = this.#options.settings;
-    const {port} = splitAddress(controlAddress);
-    const addresses = new Set(extraAddresses);
-    for (const worker of workers) {
-      addresses.add(`${vmAddressOf(worker)}:${port}`);
+    metrics.observe('carobseam_relay_read_delay_seconds', delayMs / MS_PER_S, {
+      listener: 'outbound',
+    });
+    if (delayMs > LOGGED_READ_DELAY_MS) {
+      log.logImportant('read_delayed', {
+        listener: 'outbound',
+        delayMs: Math.round(delayMs),
+      });
     }
-    addresses.delete(controlAddress);
-    return [...addresses];
   }
 
-  #relayCount(): number {
-    return this.#vmAddresses().size;
-  }
-
-  #vmAddresses(): Set<string> {
-    return new Set([...this.#state.workers()].map(vmAddressOf));
+  #handleVmChange(vmAddress: string, change: PeerChange): void {
+    const {log, metrics} = this.#options;
+    metrics.set('carobseam_relay_vms_down', this.#peerHealth.downCount);
+    log.logger.info(VM_LOG_EVENTS[change], {vmAddress});
   }
 
   #respondReadiness(_request: IncomingMessage, response: ServerResponse): void {
@@ -394,7 +381,7 @@
       () => {
         this.#peerPools.closeExpired();
         this.#workerGate.closeExpired();
-        this.#peerHealth.retainOnly(this.#vmAddresses());
+        this.#peerHealth.retainOnly(this.#peers.vmAddresses());
         this.#scheduleHousekeeping();
       },
     );
