--- a/calls/relay/test/read_delay_probe.test.ts
+++ b/calls/relay/test/read_delay_probe.test.ts
@@ -4,7 +4,7 @@
 import {once} from 'node:events';
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {epochMs, runCallers} from './caller_thread.js';
+import {epochMs, runLeavingCallers} from '@carobseam/testing.fixtures';
 
 const HOST = '127.0.0.1';
 
@@ -53,7 +53,7 @@
 }
 
 const callersOf = ({port}: ProbedServer, count: number) =>
-  runCallers({
+  runLeavingCallers({
     host: HOST,
     port,
     count,
--- a/daemon/relay/test/relay_fixtures.ts
+++ b/daemon/relay/test/relay_fixtures.ts
@@ -14,6 +14,7 @@
   Clock,
   ConfigVersion,
   DataCentreName,
+  RandomSource,
   ServiceName,
   VmId,
 } from '@carobseam/core.types';
@@ -190,6 +191,7 @@
   ports: readonly number[],
   source: MeshSource,
   clock: Clock = new SystemClock(),
+  random: RandomSource = new SeededRandom(5),
 ): Promise<RunningRelay> {
   const {host: vmAddress} = splitAddress(worker.address);
   const log = new RateLimitedLog({
@@ -220,7 +222,7 @@
     },
     source,
     clock,
-    random: new SeededRandom(5),
+    random,
     log,
     metrics: new Metrics(),
   });
