fix(relay): read connections and their ends before the work on requests

Callers that had left still had their requests run by workers (GONE), and those that waited were answered a second late although nothing in the log took time.

Cause: Node.js accepts one connection in each turn of the event loop, and a turn did all the work of the requests that it read. On a relay short of processor time new connections waited in the kernel for a second and more. The end of a connection lies behind its request and is read one turn later, when the request had already been sent on, over a hop once more in the same way.

RequestIntake orders the work: connections are accepted and requests and ends of connections are read first, then requests are worked on in slices of 2 ms between polls, hops first, then by rank. A request that was read while the event loop had no idle time waits for one more poll, and is dropped if its sender has left. After an idle moment it is worked on in the turn in which it was read, so the wait of two polls for every request, which paid, is not needed. The time of a request counts from its estimated arrival, not from its reading.

--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -1,7 +1,8 @@
 import {discardResponse} from '@carobseam/calls.exchange';
-import type {WorkerLoad} from '@carobseam/calls.worker_queue';
+import type {QueuedRequest, WorkerLoad} from '@carobseam/calls.worker_queue';
 import type {LogFields} from '@carobseam/core.logger';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Readable} from 'node:stream';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import {forwardedHeaders} from './forwarded_headers.js';
 import {respondToHealthProbe} from './health_probe.js';
@@ -11,11 +12,13 @@
   encodeHopStatement,
   hopHeaders,
   toQueuedRequest,
+  type HopRequest,
 } from './hop_message.js';
 import {gateTimes, roundMs} from './log_times.js';
 import {BodyTooLargeError, readBody} from './read_body.js';
 import type {RelayContext} from './relay_context.js';
 import {sendResponse} from './send_response.js';
+import {hasSenderLeft} from './sender_presence.js';
 import type {GateResult, GateTicket} from './worker_gate.js';
 
 const FIRST_INTERIM_MS = 150; // most responses arrive sooner
@@ -28,6 +31,15 @@
   wireHeaders.expectedWorker,
 ]);
 
+/** A hop request that has been read. */
+interface ReadHop {
+  hop: HopRequest;
+  scheduling: QueuedRequest;
+  body: Buffer | Readable;
+  /** When it was read, on the monotonic clock, in ms. */
+  arrivedMs: number;
+}
+
 /** What the sending relay has seen of a request in progress. */
 interface HopProgress {
   /** Interim responses sent to it. */
@@ -41,6 +53,7 @@
   RelayContext,
   | 'clock'
   | 'workerGate'
+  | 'intake'
   | 'log'
   | 'isDraining'
   | 'shutdownDeadlineMs'
@@ -80,8 +93,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const {clock, workerGate} = this.#options;
-    const arrivedMs = clock.monotonicMs();
+    const arrivedMs = this.#options.clock.monotonicMs();
     const hop = decodeHopRequest(
       request.headers[hopHeaders.request] as string | undefined,
     );
@@ -103,6 +115,29 @@
       this.#respond(request, response, {verdict: 'notSent', ...refusal});
       return;
     }
+    await this.#options.intake.submit({
+      rank: hop.rank,
+      isHop: true,
+      latestStartMs: scheduling.expiresAtMs,
+      expiresAtMs: scheduling.expiresAtMs,
+      hasLeft: () => hasSenderLeft(request),
+      run: () =>
+        this.#submit(request, response, {hop, scheduling, body, arrivedMs}),
+      refuse: (reason, retryAfterMs) => {
+        const result = {verdict: 'notSent', reason, retryAfterMs} as const;
+        this.#respond(request, response, result);
+      },
+      drop: () => this.#drop(request, response, arrivedMs),
+    });
+  }
+
+  /** Submits a request to the worker and responds. */
+  async #submit(
+    request: IncomingMessage,
+    response: ServerResponse,
+    {hop, scheduling, body, arrivedMs}: ReadHop,
+  ): Promise<void> {
+    const {clock, workerGate} = this.#options;
     const headers = forwardedHeaders(request.rawHeaders, EXCLUDED_HEADERS);
     headers.push(wireHeaders.expectedWorker, hop.worker);
     const ticket = workerGate.submit({
@@ -160,6 +195,25 @@
     return progress;
   }
 
+  /** Drops a request whose sender left before it was submitted. */
+  #drop(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrivedMs: number,
+  ): void {
+    const {clock, workerGate} = this.#options;
+    this.#recordDecision(
+      request,
+      {verdict: 'notSent', reason: 'senderLeft', retryAfterMs: 0},
+      workerGate.load,
+      {
+        reason: 'senderLeft',
+        leftAfterMs: roundMs(clock.monotonicMs() - arrivedMs),
+      },
+    );
+    response.destroy();
+  }
+
   #recordDecision(
     request: IncomingMessage,
     result: GateResult,
--- a/calls/relay/src/index.ts
+++ b/calls/relay/src/index.ts
@@ -8,6 +8,7 @@
 export * from './read_delay_probe.js';
 export * from './relay_context.js';
 export * from './request_dispatcher.js';
+export * from './request_intake.js';
 export * from './request_log.js';
 export * from './retry_after.js';
 export * from './worker_gate.js';
--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -10,9 +10,10 @@
 import {roundMs} from './log_times.js';
 import {BodyTooLargeError, readBody} from './read_body.js';
 import type {RelayContext} from './relay_context.js';
-import {RequestDispatcher} from './request_dispatcher.js';
+import {expectedServiceMs, RequestDispatcher} from './request_dispatcher.js';
 import {computeRetryAfterMs} from './retry_after.js';
 import {sendResponse} from './send_response.js';
+import {hasSenderLeft} from './sender_presence.js';
 
 const NO_CONFIG_RETRY_MS = 200; // a relay reads its configuration within this time after its start
 const DRAINING_RETRY_MS = 50; // another relay of the data centre can serve the retry at once
@@ -52,6 +53,7 @@
    * about to exit.
    */
   abortAll(): void {
+    this.#context.intake.refuseAll();
     this.#abortCallbacks.forEach(abort => abort());
   }
 
@@ -59,8 +61,9 @@
     this.#activeCount++;
     response.sendDate = false;
     response.once('close', () => this.#activeCount--);
-    this.#readDelays.set(request, this.#context.readDelayOf(request));
-    const arrivedMs = this.#context.clock.monotonicMs();
+    const readDelayMs = this.#context.readDelayOf(request);
+    this.#readDelays.set(request, readDelayMs);
+    const arrivedMs = this.#context.clock.monotonicMs() - readDelayMs;
     this.#serve(request, response, arrivedMs).catch(error => {
       const isTooLarge = error instanceof BodyTooLargeError;
       this.#recordEnd(request, arrivedMs, 'bodyFailed', {cause: String(error)});
@@ -105,21 +108,54 @@
     if (refuseIfLeaving()) {
       return;
     }
-    const times = this.#computeTimes(request, route, arrivedMs);
-    const dispatcher = new RequestDispatcher(this.#context, {
-      ...times,
-      id: headerOf(request, wireHeaders.requestId),
-      route,
-      service,
-      method: request.method!,
-      url: request.url!,
-      headers: this.#forwardedHeadersOf(request),
-      body,
-    });
-    await this.#dispatch(request, response, dispatcher, {
-      ...times,
+    const times = {
+      ...this.#computeTimes(request, route, arrivedMs),
       route,
       arrivedMs,
+    };
+    const run = () => {
+      const dispatcher = new RequestDispatcher(this.#context, {
+        ...times,
+        id: headerOf(request, wireHeaders.requestId),
+        service,
+        method: request.method!,
+        url: request.url!,
+        headers: this.#forwardedHeadersOf(request),
+        body,
+      });
+      return this.#dispatch(request, response, dispatcher, times);
+    };
+    await this.#takeIn(request, response, times, run);
+  }
+
+  /** Does the work on a request once its turn has come, or turns it away. */
+  #takeIn(
+    request: IncomingMessage,
+    response: ServerResponse,
+    times: RequestTimes & {route: MeshRoute; arrivedMs: number},
+    run: () => Promise<void>,
+  ): Promise<void> {
+    const {route, arrivedMs, dueAtMs, expiresAtMs} = times;
+    const serviceMs = expectedServiceMs(route);
+    return this.#context.intake.submit({
+      rank: route.rank,
+      isHop: false,
+      latestStartMs: dueAtMs - serviceMs,
+      expiresAtMs,
+      hasLeft: () => hasSenderLeft(request),
+      run,
+      refuse: (reason, waitMs) =>
+        this.#respond(request, response, times, {
+          kind: 'refused',
+          reason,
+          waitMs,
+          serviceMs,
+        }),
+      drop: () => {
+        const fields = {route: route.name};
+        this.#recordEnd(request, arrivedMs, 'callerLeft', fields);
+        response.destroy();
+      },
     });
   }
 
@@ -175,6 +211,16 @@
     if (!isStreamed(result)) {
       timeoutTimer.cancel();
     }
+    this.#respond(request, response, times, result);
+  }
+
+  #respond(
+    request: IncomingMessage,
+    response: ServerResponse,
+    times: RequestTimes & {route: MeshRoute; arrivedMs: number},
+    result: DispatchResult,
+  ): void {
+    const {route, arrivedMs} = times;
     RESPONDERS[result.kind](result as never, {
       response,
       times,
--- a/calls/relay/src/relay_context.ts
+++ b/calls/relay/src/relay_context.ts
@@ -12,6 +12,7 @@
 import type {PeerHealth} from './peer_health.js';
 import type {PeerPools} from './peer_pools.js';
 import type {RequestLog} from './request_log.js';
+import type {RequestIntake} from './request_intake.js';
 import type {WorkerGate} from './worker_gate.js';
 
 /**
@@ -27,6 +28,7 @@
   peerPools: PeerPools;
   workerGate: WorkerGate;
   callerDeadlines: CallerDeadlineTracker;
+  intake: RequestIntake;
   /** Estimates how long a caller's request has waited until it was read, in ms. */
   readDelayOf: (request: IncomingMessage) => number;
   log: RequestLog;
--- a/calls/relay/src/request_dispatcher.ts
+++ b/calls/relay/src/request_dispatcher.ts
@@ -11,7 +11,11 @@
   type WorkerChoice,
 } from '@carobseam/calls.placement';
 import {priorityClassOf} from '@carobseam/calls.worker_queue';
-import {vmAddressOf, type WorkerId} from '@carobseam/config.mesh';
+import {
+  vmAddressOf,
+  type MeshRoute,
+  type WorkerId,
+} from '@carobseam/config.mesh';
 import type {LogFields} from '@carobseam/core.logger';
 import {Readable} from 'node:stream';
 import {Attempt} from './attempt.js';
@@ -23,6 +27,8 @@
 import type {DispatchedRequest, DispatchResult} from './dispatched_request.js';
 import type {RelayContext} from './relay_context.js';
 
+const SERVICE_SHARE = 0.5; // of the target latency
+
 /**
  * Dispatches one request: sends it to a worker and retries with other workers
  * until there is a response or no further attempt is allowed. An attempt whose
@@ -223,7 +229,7 @@
     if (this.#mayHaveRun) {
       return {kind: 'unknown', reason};
     }
-    const serviceMs = this.#request.route.targetLatencyMs / 2;
+    const serviceMs = expectedServiceMs(this.#request.route);
     const expectedWaitMs = Number.isFinite(waitMs) ? waitMs : serviceMs;
     return {kind: 'refused', reason, waitMs: expectedWaitMs, serviceMs};
   }
@@ -313,3 +319,8 @@
     }
   }
 }
+
+/** Expected time from the work of this relay to the response, in ms. */
+export function expectedServiceMs(route: MeshRoute): number {
+  return route.targetLatencyMs * SERVICE_SHARE;
+}
--- a/calls/relay/test/inbound_handler.test.ts
+++ b/calls/relay/test/inbound_handler.test.ts
@@ -2,6 +2,7 @@
   encodeHopRequest,
   hopHeaders,
   InboundHandler,
+  RequestIntake,
   WorkerGate,
 } from '@carobseam/calls.relay';
 import type {WorkerId} from '@carobseam/config.mesh';
@@ -57,6 +58,7 @@
   const handler = new InboundHandler({
     clock,
     workerGate,
+    intake: new RequestIntake({clock}),
     log: {
       requestPlaced: () => {},
       attemptFailed: () => {},
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -6,6 +6,7 @@
   PeerHealth,
   PeerPools,
   ReadDelayProbe,
+  RequestIntake,
   WorkerGate,
   type PeerChange,
 } from '@carobseam/calls.relay';
@@ -89,6 +90,7 @@
   readonly #outbound: OutboundHandler;
   readonly #inbound: InboundHandler;
   readonly #readDelayProbe: ReadDelayProbe;
+  readonly #intake: RequestIntake;
   readonly #shutdown: ShutdownSchedule;
   readonly #servers: Server[] = [];
   #outboundServer?: Server;
@@ -155,8 +157,10 @@
       onCall: outcome =>
         metrics.increment('carobseam_relay_store_calls_total', {outcome}),
     });
+    this.#intake = new RequestIntake({clock});
     this.#inbound = new InboundHandler({
       clock,
+      intake: this.#intake,
       workerGate: this.#workerGate,
       log: recorder,
       isDraining,
@@ -177,6 +181,7 @@
       peerPools: this.#peerPools,
       workerGate: this.#workerGate,
       callerDeadlines: new CallerDeadlineTracker(clock),
+      intake: this.#intake,
       readDelayOf: request => this.#readDelayProbe.delayOf(request),
       log: recorder,
       dataCentre: settings.dataCentre,
@@ -237,6 +242,9 @@
     this.#outboundServer.on('connection', socket =>
       this.#readDelayProbe.connectionAccepted(socket),
     );
+    for (const server of [inbound, this.#outboundServer]) {
+      server.on('connection', () => this.#intake.connectionAccepted());
+    }
     this.#outboundServer.keepAliveTimeout = DEFAULT_KEEP_ALIVE_TIMEOUT_MS;
     this.#servers.push(inbound, this.#outboundServer);
     this.#scheduleHousekeeping();
--- a/daemon/relay/test/left_caller.test.ts
+++ b/daemon/relay/test/left_caller.test.ts
@@ -75,7 +75,7 @@
     port: ports[0]!,
     count: CALLERS,
     head:
-      `GET /read/a HTTP/1.1\r\nHost: hints.example\r\n` +
+      'GET /read/a HTTP/1.1\r\nHost: hints.example\r\n' +
       `${wireHeaders.deadlineMs}: ${DEADLINE_MS}\r\n`,
     requestIdHeader: wireHeaders.requestId,
     leaveAfterMs: DEADLINE_MS,
