fix(relay): count the time before a hop is read and a connection is open

Workers got more time than was left of a request (BUDGET), and requests whose time was over still reached them (GONE).

Cause: the time left of a hop started when the receiving relay read it, and was encoded before the connection was open; the worker's deadline was encoded before its connection was open, and a free worker got a request whatever its time.

Each hop now bears the sender's monotonic time when it is written. Headers that state a time are made when they are written, and a request that has expired by then is not written, which is a proof that it did not run. The gate refuses a request with less than 30 ms left.

--- a/calls/exchange/src/exchange_types.ts
+++ b/calls/exchange/src/exchange_types.ts
@@ -4,8 +4,13 @@
 export interface ExchangeRequest {
   method: string;
   url: string;
-  /** Alternating names and values, without the headers that frame the body. */
-  headers: readonly string[];
+  /**
+   * Alternating names and values, without the headers that frame the body; a
+   * function is called when the request is written.
+   */
+  headers: readonly string[] | (() => readonly string[]);
+  /** Whether it is too late to write the request; by default it never is. */
+  isExpired?: () => boolean;
   body: Buffer | Readable;
   /**
    * Request id; a response that echoes another id belongs to an earlier
@@ -76,6 +81,8 @@
   | 'no_response_head'
   | 'silent'
   | 'cancelled'
+  /** The request expired before the connection was open. */
+  | 'expired'
   | 'body_failed';
 
 /** Result of an exchange. */
--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -107,9 +107,17 @@
 
   #write(current: PendingExchange): void {
     const {request} = current;
+    if (request.isExpired?.()) {
+      this.#fail('expired');
+      return;
+    }
+    const headers =
+      typeof request.headers === 'function'
+        ? request.headers()
+        : request.headers;
     const lines = [`${request.method} ${request.url} HTTP/1.1`];
-    for (let index = 0; index < request.headers.length; index += 2) {
-      lines.push(`${request.headers[index]}: ${request.headers[index + 1]}`);
+    for (let index = 0; index < headers.length; index += 2) {
+      lines.push(`${headers[index]}: ${headers[index + 1]}`);
     }
     current.isWritten = true;
     this.#restartSilenceTimer(current);
--- a/calls/exchange/test/connection_pool.test.ts
+++ b/calls/exchange/test/connection_pool.test.ts
@@ -84,6 +84,37 @@
 }
 
 describe('ConnectionPool', () => {
+  it('guards against writing a request that expired while its connection was opened', async () => {
+    let received = 0;
+    await withWorker(
+      () => received++,
+      async send => {
+        const result = await send('id-1', {isExpired: () => true});
+        expect(result).to.equal('notSent: expired');
+      },
+    );
+    expect(received).to.equal(0);
+  });
+
+  it('guards against headers that are older than the connection of their request', async () => {
+    let isOpen = false;
+    await withWorker(
+      (socket, id) => socket.write(framedResponse(id, 'ok')),
+      async send => {
+        const sent = send('id-1', {
+          headers: () => [
+            'Host',
+            'a.example',
+            'X-Request-Id',
+            isOpen ? 'id-1' : 'old',
+          ],
+        });
+        isOpen = true;
+        expect(await sent).to.equal('200 ok');
+      },
+    );
+  });
+
   it('guards against a failure that does not state what the peer sent before it', async () => {
     const interim = 'HTTP/1.1 102 Processing\r\n\r\n';
     const worker = await startRawWorker(socket => socket.write(interim));
--- a/calls/relay/src/attempt.ts
+++ b/calls/relay/src/attempt.ts
@@ -13,8 +13,6 @@
   encodeKnownRateLimit,
   encodeHopRequest,
   hopHeaders,
-  toQueuedRequest,
-  type HopRequest,
 } from './hop_message.js';
 import type {RelayContext} from './relay_context.js';
 
@@ -62,54 +60,66 @@
 
   send(): Promise<AttemptResult> {
     const {context, request} = this.#options;
-    const hop: HopRequest = {
-      worker: this.worker.id,
-      isIdempotent: request.route.isIdempotent,
-      rank: request.route.rank,
-      isLastCallerAttempt: request.isLastCallerAttempt,
-      dueInMs: request.dueAtMs - this.startMs,
-      expiresInMs: request.expiresAtMs - this.startMs,
-    };
     return this.worker.address === context.workerAddress
-      ? this.#sendToLocalWorker(hop)
-      : this.#sendToPeer(hop);
+      ? this.#sendToLocalWorker()
+      : this.#sendToPeer();
   }
 
-  async #sendToLocalWorker(hop: HopRequest): Promise<AttemptResult> {
+  async #sendToLocalWorker(): Promise<AttemptResult> {
     const {context, request} = this.#options;
     const {workerGate, workerLoads} = context;
+    const {id} = this.worker;
     const ticket = workerGate.submit({
-      worker: hop.worker,
-      isIdempotent: hop.isIdempotent,
-      scheduling: toQueuedRequest(hop, this.startMs),
+      worker: id,
+      isIdempotent: request.route.isIdempotent,
+      scheduling: {...request, rank: request.route.rank},
       method: request.method,
       url: request.url,
-      headers: [...request.headers, wireHeaders.expectedWorker, hop.worker],
+      headers: [...request.headers, wireHeaders.expectedWorker, id],
       body: request.body,
       requestId: request.id,
     });
     this.#cancel = () => ticket.cancel();
     const result = await ticket.result;
-    workerLoads.recordReport(hop.worker, workerGate.load);
+    workerLoads.recordReport(id, workerGate.load);
     if (result.isWorkerLeaving) {
       workerLoads.markLeaving(this.worker);
     }
     return toAttemptResult(result);
   }
 
-  async #sendToPeer(hop: HopRequest): Promise<AttemptResult> {
+  /** The metadata of a hop that is written now. */
+  #hopHeaders(): string[] {
+    const {context, request} = this.#options;
+    const nowMs = context.clock.monotonicMs();
+    const {id} = this.worker;
+    const hop = encodeHopRequest({
+      worker: id,
+      isIdempotent: request.route.isIdempotent,
+      rank: request.route.rank,
+      isLastCallerAttempt: request.isLastCallerAttempt,
+      dueInMs: request.dueAtMs - nowMs,
+      expiresInMs: request.expiresAtMs - nowMs,
+    });
+    const limitPerS = context.workerLoads.knownRateLimitPerS(id);
+    return [
+      hopHeaders.request,
+      hop,
+      hopHeaders.sentAt,
+      context.hopStamps.stamp(),
+      ...encodeKnownRateLimit(limitPerS),
+    ];
+  }
+
+  async #sendToPeer(): Promise<AttemptResult> {
     const {context, request} = this.#options;
     const {workerLoads, peerHealth, peerPools} = context;
     const vmAddress = vmAddressOf(this.worker);
     const exchange = peerPools.poolFor(vmAddress).exchange({
       method: request.method,
       url: request.url,
-      headers: [
-        ...request.headers,
-        hopHeaders.request,
-        encodeHopRequest(hop),
-        ...encodeKnownRateLimit(workerLoads.knownRateLimitPerS(hop.worker)),
-      ],
+      headers: () => [...request.headers, ...this.#hopHeaders()],
+      isExpired: () => context.clock.monotonicMs() >= request.expiresAtMs,
       body: request.body,
       requestId: request.id,
       silenceWatch: {
@@ -121,7 +131,7 @@
     this.#cancel = () => exchange.cancel();
     const result = await exchange.result;
     if (result.kind !== 'response') {
-      if (result.reason !== 'cancelled') {
+      if (result.reason !== 'cancelled' && result.reason !== 'expired') {
         peerHealth.markDown(vmAddress);
       }
       return failureToAttemptResult(result);
--- a/calls/relay/src/hop_message.ts
+++ b/calls/relay/src/hop_message.ts
@@ -9,6 +9,8 @@
 export const hopHeaders = {
   request: 'x-cs-hop',
   response: 'x-cs-load',
+  /** When the request was written, by the sender's clock; see `HopStamps`. */
+  sentAt: 'x-cs-sent',
   /** Only in requests for a worker whose rate limit the sender knows. */
   knownRateLimit: 'x-cs-limit',
   /** Only in responses about a worker that states a limit or that it leaves. */
--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -5,6 +5,7 @@
 import type {Readable} from 'node:stream';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import {forwardedHeaders} from './forwarded_headers.js';
+import type {HopDelays} from './hop_delay.js';
 import {respondToHealthProbe} from './health_probe.js';
 import {
   decodeHopRequest,
@@ -27,6 +28,7 @@
 const EXCLUDED_HEADERS = new Set<string>([
   hopHeaders.request,
   hopHeaders.knownRateLimit,
+  hopHeaders.sentAt,
   wireHeaders.deadlineMs,
   wireHeaders.expectedWorker,
 ]);
@@ -58,7 +60,7 @@
   | 'isDraining'
   | 'shutdownDeadlineMs'
   | 'isRefusingNewRequests'
->;
+> & {hopDelays: HopDelays};
 
 /** Handles the requests that other relays send to the local worker. */
 export class InboundHandler {
@@ -104,7 +106,12 @@
       }
       return;
     }
-    const scheduling = toQueuedRequest(hop, arrivedMs);
+    const delayMs = this.#options.hopDelays.delayOf(
+      request.socket.remoteAddress ?? '',
+      request.headers[hopHeaders.sentAt] as string | undefined,
+    );
+    this.#options.log.hopRead(delayMs);
+    const scheduling = toQueuedRequest(hop, arrivedMs - delayMs);
     scheduling.expiresAtMs = Math.min(
       scheduling.expiresAtMs,
       this.#options.shutdownDeadlineMs(),
--- a/calls/relay/src/index.ts
+++ b/calls/relay/src/index.ts
@@ -1,5 +1,6 @@
 export * from './caller_deadline_tracker.js';
 export * from './dispatched_request.js';
+export * from './hop_delay.js';
 export * from './hop_message.js';
 export * from './inbound_handler.js';
 export * from './outbound_handler.js';
--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -22,6 +22,7 @@
   hopHeaders.request,
   hopHeaders.response,
   hopHeaders.knownRateLimit,
+  hopHeaders.sentAt,
   hopHeaders.statement,
   wireHeaders.deadlineMs,
   wireHeaders.expectedWorker,
--- a/calls/relay/src/relay_context.ts
+++ b/calls/relay/src/relay_context.ts
@@ -9,6 +9,7 @@
 } from '@carobseam/core.types';
 import type {IncomingMessage} from 'node:http';
 import type {CallerDeadlineTracker} from './caller_deadline_tracker.js';
+import type {HopStamps} from './hop_delay.js';
 import type {PeerHealth} from './peer_health.js';
 import type {PeerPools} from './peer_pools.js';
 import type {RequestLog} from './request_log.js';
@@ -29,6 +30,7 @@
   workerGate: WorkerGate;
   callerDeadlines: CallerDeadlineTracker;
   intake: RequestIntake;
+  hopStamps: HopStamps;
   /** Estimates how long a caller's request has waited until it was read, in ms. */
   readDelayOf: (request: IncomingMessage) => number;
   log: RequestLog;
--- a/calls/relay/src/request_log.ts
+++ b/calls/relay/src/request_log.ts
@@ -16,6 +16,8 @@
   retryBudgetExhausted(service: string): void;
   /** A request ended. `durationMs` counts from its arrival. */
   requestEnded(outcome: string, durationMs: number, fields: LogFields): void;
+  /** A request from another relay was read `delayMs` after it could have been. */
+  hopRead(delayMs: number): void;
   /** A request from another relay was refused or failed at this relay. */
   gateDecision(reason: string, fields: LogFields): void;
 }
--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -5,6 +5,7 @@
   type Exchange,
   type ExchangeResponse,
   type ExchangeResult,
+  type FailureReason,
   type ReceivedHead,
 } from '@carobseam/calls.exchange';
 import {DRAIN_DELAY_SHARE} from '@carobseam/calls.placement';
@@ -284,11 +285,18 @@
     const {request} = pending;
     const startMs = this.#options.clock.monotonicMs();
     pending.startedMs = startMs;
-    const deadlineMs = Math.max(1, Math.floor(pending.expiresAtMs - startMs));
+    const remainingMs = () =>
+      pending.expiresAtMs - this.#options.clock.monotonicMs();
     pending.exchange = this.#pool.exchange({
       method: request.method,
       url: request.url,
-      headers: [...request.headers, wireHeaders.deadlineMs, String(deadlineMs)],
+      // Opening a connection may take a part of the time that is left.
+      isExpired: () => remainingMs() <= 0,
+      headers: () => [
+        ...request.headers,
+        wireHeaders.deadlineMs,
+        String(Math.max(1, Math.floor(remainingMs()))),
+      ],
       body: request.body,
       requestId: request.requestId,
       onHead: head => this.#recordHead(pending, head),
@@ -331,7 +339,7 @@
   ): void {
     if (result.kind === 'response' && result.status < 500) {
       this.#queue.estimate.recordSuccess(priorityClass, durationMs);
-    } else if (result.kind === 'response' || result.reason !== 'cancelled') {
+    } else if (result.kind === 'response' || !OWN_ENDS.has(result.reason)) {
       this.#queue.estimate.recordFailure();
     }
   }
@@ -383,6 +391,9 @@
   }
 }
 
+// Ends of an exchange that say nothing about the worker.
+const OWN_ENDS = new Set<FailureReason>(['cancelled', 'expired']);
+
 // Callers retry after these statuses, even a request that is not idempotent.
 const RETRIED_STATUSES = new Set([408, 429, 503]);
 
--- a/calls/relay/test/inbound_handler.test.ts
+++ b/calls/relay/test/inbound_handler.test.ts
@@ -1,5 +1,6 @@
 import {
   encodeHopRequest,
+  HopDelays,
   hopHeaders,
   InboundHandler,
   RequestIntake,
@@ -59,10 +60,12 @@
     clock,
     workerGate,
     intake: new RequestIntake({clock}),
+    hopDelays: new HopDelays(clock),
     log: {
       requestPlaced: () => {},
       attemptFailed: () => {},
       hopSilent: () => {},
+      hopRead: () => {},
       retryBudgetExhausted: () => {},
       requestEnded: () => {},
       gateDecision: (reason, fields) => lines.push({reason, ...fields}),
--- a/calls/relay/test/silent_hop.test.ts
+++ b/calls/relay/test/silent_hop.test.ts
@@ -2,6 +2,7 @@
 import {
   encodeHopResponse,
   hopHeaders,
+  HopStamps,
   PeerPools,
   RequestDispatcher,
   type DispatchResult,
@@ -160,6 +161,7 @@
     dataCentre: 'wien',
     workerAddress: '127.0.0.70:1',
     retryBudgets: {countCall: () => {}, take: () => retriesLeft-- > 0},
+    hopStamps: new HopStamps(clock),
     log: {
       requestPlaced: () => {},
       attemptFailed: () => {},
--- a/calls/relay/test/worker_gate.test.ts
+++ b/calls/relay/test/worker_gate.test.ts
@@ -100,6 +100,20 @@
 }
 
 describe('WorkerGate', () => {
+  it('guards against giving a free worker a request whose time is over', async () => {
+    let received = 0;
+    await withGate(
+      () => received++,
+      async ({submit}) => {
+        for (const expiresInMs of [-500, 0, 10]) {
+          const {verdict, reason} = await submit({expiresInMs});
+          expect([verdict, reason]).to.deep.equal(['notSent', 'wouldExpire']);
+        }
+      },
+    );
+    expect(received).to.equal(0);
+  });
+
   it('guards against losing a slot to a stream that failed at once', async () => {
     await withGate(
       socket => {
--- a/calls/worker_queue/src/queued_request.ts
+++ b/calls/worker_queue/src/queued_request.ts
@@ -24,6 +24,9 @@
  */
 export const PRIORITY_CLASS_COUNT = MAX_DISTINCT_RANK + 2;
 
+/** Class of the requests that will miss the target latency. */
+export const LATE_CLASS = PRIORITY_CLASS_COUNT - 1;
+
 /**
  * Returns the priority class of a request that can still meet its target
  * latency; 0 is served first.
--- a/calls/worker_queue/src/worker_queue.ts
+++ b/calls/worker_queue/src/worker_queue.ts
@@ -1,5 +1,6 @@
 import type {Clock, Timer} from '@carobseam/core.types';
 import {
+  LATE_CLASS,
   PRIORITY_CLASS_COUNT,
   priorityClassOf,
   type QueuedRequest,
@@ -11,7 +12,7 @@
 const SERVICE_MARGIN = 1.25; // work times vary by a third of their mean, and the response takes time to travel
 const LATE_QUEUE_PER_SLOT = 0.25; // callers that can retry find a shorter queue later
 const LAST_ATTEMPT_QUEUE_PER_SLOT = 0.5; // more would expire in the queue
-const LATE_CLASS = PRIORITY_CLASS_COUNT - 1;
+const MIN_REMAINING_MS = 30; // no worker responds in less
 
 /** Why a request is refused. */
 export type QueueRefusalReason = 'wouldBeLate' | 'wouldExpire' | 'leaving';
@@ -120,6 +121,9 @@
     if (this.#isDraining) {
       return {kind: 'refused', reason: 'leaving', retryAfterMs: 0};
     }
+    if (request.expiresAtMs - this.#nowMs() < MIN_REMAINING_MS) {
+      return {kind: 'refused', reason: 'wouldExpire', retryAfterMs: 0};
+    }
     this.#startQueued();
     const isNext = this.#queued.length === 0;
     if (isNext && this.#running < this.#slots && this.#limiter.take()) {
--- a/core/metrics/src/relay_metrics.ts
+++ b/core/metrics/src/relay_metrics.ts
@@ -76,7 +76,7 @@
   },
   carobseam_relay_read_delay_seconds: {
     type: 'histogram',
-    help: 'Time until the first request on a new connection is read, measured by connections of the relay to itself while its event loop is never idle, by listener.',
+    help: 'Time that requests waited until they were read, by listener: of the first request on a new connection (outbound), measured by connections of the relay to itself while its event loop is never idle; of each request from another relay (inbound), by the stamp of its sender.',
     labels: ['listener'],
     buckets: [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5],
   },
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -1,6 +1,8 @@
 import {WorkerLoads} from '@carobseam/calls.placement';
 import {
   CallerDeadlineTracker,
+  HopDelays,
+  HopStamps,
   InboundHandler,
   OutboundHandler,
   PeerHealth,
@@ -39,7 +41,6 @@
 import {ShutdownSchedule} from './shutdown_schedule.js';
 import {StateChangeRecorder} from './state_change_recorder.js';
 
-const LOGGED_READ_DELAY_MS = 200; // two fifths of the shortest target latency of callers
 const REMOVAL_GRACE_MS = 2200; // after an outage of the store, running workers are registered again within about 2 s
 const WORKER_CONNECT_TIMEOUT_MS = 500; // the worker is on the same VM
 const WORKER_IDLE_TTL_MS = 4000; // the users' workers close idle connections after 10 s
@@ -48,7 +49,6 @@
 const KEEP_ALIVE_TIMEOUT_FACTOR = 1.25; // callers reuse a connection until 4/5 of the configured limit
 const INBOUND_KEEP_ALIVE_TIMEOUT_MS = 20_000; // longer than peers keep idle connections in their pools
 const DRAIN_CHECK_INTERVAL_MS = 20; // the longest delay until an idle relay exits
-const MS_PER_S = 1000;
 const HOUSEKEEPING_INTERVAL_MS = 1000; // the longest time for which an expired idle connection stays open
 
 const VM_LOG_EVENTS: Record<PeerChange, string> = {
@@ -91,6 +91,7 @@
   readonly #inbound: InboundHandler;
   readonly #readDelayProbe: ReadDelayProbe;
   readonly #intake: RequestIntake;
+  readonly #hopDelays: HopDelays;
   readonly #shutdown: ShutdownSchedule;
   readonly #servers: Server[] = [];
   #outboundServer?: Server;
@@ -158,9 +159,11 @@
         metrics.increment('carobseam_relay_store_calls_total', {outcome}),
     });
     this.#intake = new RequestIntake({clock});
+    this.#hopDelays = new HopDelays(clock);
     this.#inbound = new InboundHandler({
       clock,
       intake: this.#intake,
+      hopDelays: this.#hopDelays,
       workerGate: this.#workerGate,
       log: recorder,
       isDraining,
@@ -170,7 +173,7 @@
     this.#readDelayProbe = new ReadDelayProbe({
       clock,
       ...splitAddress(settings.outboundAddress),
-      onDelay: delayMs => this.#recordReadDelay(delayMs),
+      onDelay: delayMs => recorder.readDelay('outbound', delayMs),
     });
     this.#outbound = new OutboundHandler({
       clock,
@@ -182,6 +185,7 @@
       workerGate: this.#workerGate,
       callerDeadlines: new CallerDeadlineTracker(clock),
       intake: this.#intake,
+      hopStamps: new HopStamps(clock),
       readDelayOf: request => this.#readDelayProbe.delayOf(request),
       log: recorder,
       dataCentre: settings.dataCentre,
@@ -325,19 +329,6 @@
     );
   }
 
-  #recordReadDelay(delayMs: number): void {
-    const {log, metrics} = this.#options;
-    metrics.observe('carobseam_relay_read_delay_seconds', delayMs / MS_PER_S, {
-      listener: 'outbound',
-    });
-    if (delayMs > LOGGED_READ_DELAY_MS) {
-      log.logImportant('read_delayed', {
-        listener: 'outbound',
-        delayMs: Math.round(delayMs),
-      });
-    }
-  }
-
   #handleVmChange(vmAddress: string, change: PeerChange): void {
     const {log, metrics} = this.#options;
     metrics.set('carobseam_relay_vms_down', this.#peerHealth.downCount);
@@ -389,7 +380,9 @@
       () => {
         this.#peerPools.closeExpired();
         this.#workerGate.closeExpired();
-        this.#peerHealth.retainOnly(this.#peers.vmAddresses());
+        const vmAddresses = this.#peers.vmAddresses();
+        this.#peerHealth.retainOnly(vmAddresses);
+        this.#hopDelays.retainOnly(vmAddresses);
         this.#scheduleHousekeeping();
       },
     );
--- a/daemon/relay/src/request_recorder.ts
+++ b/daemon/relay/src/request_recorder.ts
@@ -5,6 +5,7 @@
 import type {RateLimitedLog} from './rate_limited_log.js';
 
 const MS_PER_S = 1000;
+const LOGGED_READ_DELAY_MS = 200; // two fifths of the shortest target latency of callers
 
 /** Records the events of requests in the log and in the metrics. */
 export class RequestRecorder implements RequestLog {
@@ -50,6 +51,25 @@
     }
   }
 
+  hopRead(delayMs: number): void {
+    this.readDelay('inbound', delayMs);
+  }
+
+  /** Records how long a request on a listener waited until it was read, in ms. */
+  readDelay(listener: string, delayMs: number): void {
+    this.#metrics.observe(
+      'carobseam_relay_read_delay_seconds',
+      delayMs / MS_PER_S,
+      {listener},
+    );
+    if (delayMs > LOGGED_READ_DELAY_MS) {
+      this.#log.logImportant('read_delayed', {
+        listener,
+        delayMs: Math.round(delayMs),
+      });
+    }
+  }
+
   gateDecision(reason: string, fields: LogFields): void {
     this.#metrics.increment('carobseam_relay_gate_refusals_total', {reason});
     this.#log.logImportant('gate_decision', {reason, ...fields});
