--- a/daemon/relay/test/odd_entries.test.ts
+++ b/daemon/relay/test/odd_entries.test.ts
@@ -147,6 +147,11 @@
   'with a report number of another type': {fields: {sequence: '1'}},
   'with a cold time that is too large': {fields: {coldRemainingMs: 1e300}},
   'with a cold time of another type': {fields: {coldRemainingMs: '1'}},
+  'with a port that is out of range': {fields: {address: '127.0.0.2:99999'}},
+  'with a port that is one too large': {fields: {address: '127.0.0.2:65536'}},
+  'with port 0': {fields: {address: '127.0.0.2:0'}},
+  'with an octet that is out of range': {fields: {address: '999.0.0.1:80'}},
+  'with a multicast address': {fields: {address: '239.0.0.1:80'}},
 };
 
 const VMS: Record<string, number> = {'its own VM': 0, 'another VM': 1};
