--- a/daemon/relay/test/odd_entries.test.ts
+++ b/daemon/relay/test/odd_entries.test.ts
@@ -152,6 +152,12 @@
   'with port 0': {fields: {address: '127.0.0.2:0'}},
   'with an octet that is out of range': {fields: {address: '999.0.0.1:80'}},
   'with a multicast address': {fields: {address: '239.0.0.1:80'}},
+  'with an empty id': {id: ''},
+  'with a semicolon in the id': {id: 'i;2'},
+  'with a line break in the id': {id: 'i-2\r\nx-odd: 1'},
+  'with a very long id': {id: `${'i'.repeat(20_000)}`},
+  'with a line break in the service': {fields: {service: 'a\r\nb: c'}},
+  'with a lone surrogate in the zone': {fields: {zone: '\udc00'}},
 };
 
 const VMS: Record<string, number> = {'its own VM': 0, 'another VM': 1};
