--- a/daemon/relay/test/odd_entries.test.ts
+++ b/daemon/relay/test/odd_entries.test.ts
@@ -18,6 +18,7 @@
   startWorker,
   type FakeWorker,
   type ReceivedRequest,
+  type RunningRelay,
 } from './relay_fixtures.js';
 
 const BORN_MS = 1_700_000_000_000;
@@ -67,10 +68,12 @@
   });
 }
 
+// The tests run one after the other, so one set of ports serves them all.
+const ports = allocatePorts();
+
 async function withStoreMesh(
   run: (mesh: StoreMesh) => Promise<void>,
 ): Promise<void> {
-  const ports = allocatePorts();
   const store = new StoreStandIn();
   const storeAddress = await store.listen('127.0.0.1');
   const workers = await Promise.all([
@@ -85,14 +88,15 @@
       bornMs: BORN_MS,
     }),
   );
-  const relays = await Promise.all(
-    workers.map(worker => startRelay(worker, ports, startSource(storeAddress))),
-  );
+  const relays: RunningRelay[] = [];
   const callFirst = (path: string, method = 'GET') =>
     call({host: '127.0.0.1', port: ports[0]!, path, method}).then(
       ({status}) => status,
     );
   try {
+    for (const worker of workers) {
+      relays.push(await startRelay(worker, ports, startSource(storeAddress)));
+    }
     await run({
       store,
       workers,
@@ -158,6 +162,7 @@
   'with a very long id': {id: `${'i'.repeat(20_000)}`},
   'with a line break in the service': {fields: {service: 'a\r\nb: c'}},
   'with a lone surrogate in the zone': {fields: {zone: '\udc00'}},
+  'with a very large field': {fields: {version: 'v'.repeat(100_000)}},
 };
 
 const VMS: Record<string, number> = {'its own VM': 0, 'another VM': 1};
