fix(exchange): report a connection that cannot be opened as not sent

Callers saw nothing: an entry's port never reaches a connection, since hops use the relays' own port; found by probes of the parts. A pool with port 99999 threw out of `exchange`. The dispatcher does not catch that, so its caller would wait until the route's timeout, and the gate would lose one slot for good with each request.

Cause: net.connect throws for a port out of range instead of emitting an error.

The pool answers with the result that a refused connection has, which every caller handles: nothing was sent, the slot is free, another worker is tried.

--- a/calls/exchange/src/connection_pool.ts
+++ b/calls/exchange/src/connection_pool.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@carobseam/core.types';
 import type {
   Exchange,
+  ExchangeFailure,
   ExchangeRequest,
   ExchangeResult,
   FailureReason,
@@ -13,6 +14,14 @@
 const IDLE_GROWTH_FACTOR = 1.5; // per second; from the minimum to 4 s in 11 s
 const KEEP_ALIVE_MARGIN_MS = 1000; // the server measures the time with its own clock
 
+/** Result of an exchange for which no connection could be opened. */
+const NOT_CONNECTED: ExchangeFailure = {
+  kind: 'notSent',
+  reason: 'connect_failed',
+  receivedBytes: 0,
+  receivedInterims: 0,
+};
+
 /** Options of `ConnectionPool`. */
 export interface ConnectionPoolOptions {
   clock: Clock;
@@ -58,6 +67,9 @@
     const idle = request.needsNewConnection ? undefined : this.#takeIdle();
     const idleMs = idle && this.#options.clock.monotonicMs() - idle.idleSinceMs;
     const connection = idle?.connection ?? this.#connect();
+    if (!connection) {
+      return {result: Promise.resolve(NOT_CONNECTED), cancel: () => {}};
+    }
     const result = new Promise<ExchangeResult>(resolve =>
       connection.send(request, outcome => {
         if (idleMs !== undefined && hasReason(outcome, 'connection_lost')) {
@@ -131,14 +143,21 @@
     }
   }
 
-  #connect(): HttpConnection {
-    const connection = new HttpConnection({
-      ...this.#address,
-      connectTimeoutMs: this.#options.connectTimeoutMs,
-      requestIdHeader: this.#options.requestIdHeader,
-      onIdle: idle => this.#putIdle(idle),
-      onClose: closed => this.#remove(closed),
-    });
+  /** Opens a connection; undefined when the address is not valid. */
+  #connect(): HttpConnection | undefined {
+    let connection: HttpConnection;
+    try {
+      connection = new HttpConnection({
+        ...this.#address,
+        connectTimeoutMs: this.#options.connectTimeoutMs,
+        requestIdHeader: this.#options.requestIdHeader,
+        onIdle: idle => this.#putIdle(idle),
+        onClose: closed => this.#remove(closed),
+      });
+    } catch {
+      // Node.js throws for a port out of range. The caller must get a result, or it would wait for one.
+      return undefined;
+    }
     this.#open.add(connection);
     this.#options.onOpen?.();
     return connection;
--- a/calls/exchange/test/connection_pool.test.ts
+++ b/calls/exchange/test/connection_pool.test.ts
@@ -84,6 +84,24 @@
 }
 
 describe('ConnectionPool', () => {
+  it('guards against an exchange without a result when its address is not valid', async () => {
+    const pool = createPool('127.0.0.1:99999');
+    for (const needsNewConnection of [true, false]) {
+      const {result, cancel} = pool.exchange({
+        method: 'GET',
+        url: '/',
+        headers: [],
+        body: Buffer.alloc(0),
+        needsNewConnection,
+      });
+      cancel();
+      const failure = {kind: 'notSent', reason: 'connect_failed'};
+      expect(await result).to.include(failure);
+    }
+    expect(pool.isEmpty).to.equal(true);
+    pool.close();
+  });
+
   it('guards against a failure that does not state what the peer sent before it', async () => {
     const interim = 'HTTP/1.1 102 Processing\r\n\r\n';
     const worker = await startRawWorker(socket => socket.write(interim));
--- a/calls/relay/test/worker_gate.test.ts
+++ b/calls/relay/test/worker_gate.test.ts
@@ -100,6 +100,41 @@
 }
 
 describe('WorkerGate', () => {
+  it('guards against slots that stay taken when no connection can be opened', async () => {
+    const clock = new SystemClock();
+    const gate = new WorkerGate({
+      clock,
+      workerAddress: '127.0.0.1:99999',
+      connectTimeoutMs: 500,
+      idleTtlMs: 4000,
+      maxIdle: 4,
+      drainMs: 2000,
+      isGone: () => false,
+      onConnection: () => {},
+    });
+    for (let count = 0; count < 10; count++) {
+      const atMs = clock.monotonicMs() + 1000;
+      const {result} = gate.submit({
+        worker: 'i-0' as WorkerId,
+        isIdempotent: false,
+        scheduling: {
+          rank: 1,
+          isLastCallerAttempt: false,
+          dueAtMs: atMs,
+          expiresAtMs: atMs,
+        },
+        method: 'GET',
+        url: '/',
+        headers: [],
+        body: Buffer.alloc(0),
+      });
+      const failure = {verdict: 'notSent', reason: 'connect_failed'};
+      expect(await result).to.include(failure);
+    }
+    expect(gate.load.running).to.equal(0);
+    gate.close();
+  });
+
   it('guards against losing a slot to a stream that failed at once', async () => {
     await withGate(
       socket => {
