fix(mesh): keep a worker beside an entry of an unknown service

Callers saw: a worker that was used no more, and whose relay refused all requests as gone, after another writer had left an entry with its address and a service that is not named anywhere.

Cause: of two entries with one address the later start replaces the other, also when no route names its service.

Before the fix the test of the state failed with 'expected true to equal false', the two through the whole relay with 'expected [ 'i-1' ] to deeply equal [ 'i-0', 'i-1' ]'; all pass now.

An entry whose service a route names now goes before one whose service none names; start time and revision decide between the others as before. Entries are indexed again with each configuration, so a service that a later version names counts from then on.

--- a/config/mesh/src/mesh_state.ts
+++ b/config/mesh/src/mesh_state.ts
@@ -404,9 +404,15 @@
 
   /**
    * Compares two workers with one address: the entry of a crashed worker
-   * remains until it expires, next to the entry of its successor.
+   * remains until it expires, next to the entry of its successor. An entry of
+   * another writer may name a worker's address with a service that no route
+   * names; it replaces no worker of a service that is named.
    */
   #isNewer(a: MeshWorker, b: MeshWorker): boolean {
+    const isNamed = this.#routes?.namesService(a.service);
+    if (isNamed !== this.#routes?.namesService(b.service)) {
+      return isNamed === true;
+    }
     if (a.bornMs !== b.bornMs) {
       return a.bornMs > b.bornMs;
     }
--- a/config/mesh/src/route_table.ts
+++ b/config/mesh/src/route_table.ts
@@ -4,6 +4,7 @@
 /** Finds the route of a request by host and longest path prefix. */
 export class RouteTable {
   readonly #byHost = new Map<string, Map<string, MeshRoute>>();
+  readonly #services = new Set<ServiceName>();
 
   constructor(config: MeshConfig) {
     for (const route of config.routes) {
@@ -11,9 +12,15 @@
       const prefixes = this.#byHost.get(host) ?? new Map<string, MeshRoute>();
       prefixes.set(route.pathPrefix, route);
       this.#byHost.set(host, prefixes);
+      route.shares.forEach(({service}) => this.#services.add(service));
     }
   }
 
+  /** Whether a route sends requests to a service. */
+  namesService(service: ServiceName): boolean {
+    return this.#services.has(service);
+  }
+
   /**
    * Returns the route with the longest matching path prefix.
    *
--- a/config/mesh/test/mesh_state.test.ts
+++ b/config/mesh/test/mesh_state.test.ts
@@ -118,6 +118,25 @@
     expect(state.isGone('i-never-seen' as WorkerId)).to.equal(false);
   });
 
+  it('guards against a worker that an entry of an unknown service at its address replaces', () => {
+    const {state} = createState();
+    const worker = createWorker({bornMs: 100});
+    const odd = createWorker({
+      id: 'i-odd' as WorkerId,
+      service: 'nobody' as ServiceName,
+      bornMs: 900,
+    });
+    const workers = [createPut(worker, 1), createPut(odd, 2)];
+    state.applyChanges({revision: 2 as SourceRevision, workers});
+    expect(state.isGone(worker.id)).to.equal(true);
+    const config = createConfig(1);
+    state.applyChanges({revision: 3 as SourceRevision, config, workers: []});
+    expect(state.isGone(worker.id)).to.equal(false);
+    expect(state.isGone(odd.id)).to.equal(true);
+    expect(state.workerAt(worker.address)?.id).to.equal(worker.id);
+    expect(state.workersOf(worker.service)).to.deep.equal([worker]);
+  });
+
   it('keeps workers whose entries expired while the source was unavailable', () => {
     const {clock, state, apply, ids} = createState();
     apply(1, createPut(createWorker(), 1));
--- a/daemon/relay/test/odd_entries.test.ts
+++ b/daemon/relay/test/odd_entries.test.ts
@@ -163,6 +163,7 @@
   'with a line break in the service': {fields: {service: 'a\r\nb: c'}},
   'with a lone surrogate in the zone': {fields: {zone: '\udc00'}},
   'with a very large field': {fields: {version: 'v'.repeat(100_000)}},
+  'of a service that is not named': {fields: {service: 'nobody'}},
 };
 
 const VMS: Record<string, number> = {'its own VM': 0, 'another VM': 1};
