--- a/daemon/relay/test/odd_entries.test.ts
+++ b/daemon/relay/test/odd_entries.test.ts
@@ -203,3 +203,17 @@
     }
   }
 });
+
+describe('a configuration of another form', () => {
+  const oddConfigs = ['null', '{"version":9,"routes":{"rows":[null]}}'];
+  for (const text of oddConfigs) {
+    it(`guards against a relay that stops following after ${text}`, async () => {
+      await withStoreMesh(async mesh => {
+        mesh.store.putConfigText(text);
+        await mesh.followChange();
+        const statuses = await mesh.callAll();
+        expect(statuses.filter(status => status !== 200)).to.deep.equal([]);
+      });
+    });
+  }
+});
