fix(exchange): end an exchange with a response that may belong to an earlier request

Seen: a worker writes an earlier refusal (503, 429 or 421) once more on a kept connection, without the id of its request. The caller of the next idempotent request on that connection is told 503, "not run", while the worker runs it. An extra 200 without an id is delivered to that caller as its own answer.

Cause: a response without an id counts as the answer to the request in progress, also on a connection that had an earlier exchange.

Workers echo the id in their responses. So on a reused connection to a worker, a response without one ends the exchange as unattributed_response: the outcome is unknown, which is sent again only for an idempotent request and within the budget. The first exchange of a connection has no earlier request, so a refusal without an id stays a proof there.

--- a/calls/exchange/src/connection_pool.ts
+++ b/calls/exchange/src/connection_pool.ts
@@ -23,6 +23,12 @@
   idleTtlMs: number;
   maxIdle: number;
   requestIdHeader: string;
+  /**
+   * Whether the server echoes the request id in each response. If it does, a
+   * response without an id on a reused connection ends the exchange as
+   * `unattributed_response`.
+   */
+  isRequestIdEchoed?: boolean;
   /** Called for each new connection. */
   onOpen?: () => void;
 }
@@ -136,6 +142,7 @@
       ...this.#address,
       connectTimeoutMs: this.#options.connectTimeoutMs,
       requestIdHeader: this.#options.requestIdHeader,
+      isRequestIdEchoed: this.#options.isRequestIdEchoed,
       onIdle: idle => this.#putIdle(idle),
       onClose: closed => this.#remove(closed),
     });
--- a/calls/exchange/src/exchange_types.ts
+++ b/calls/exchange/src/exchange_types.ts
@@ -72,6 +72,7 @@
   | 'connect_timeout'
   | 'connection_lost'
   | 'malformed_response'
+  | 'unattributed_response'
   | 'head_too_large'
   | 'no_response_head'
   | 'silent'
--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -1,5 +1,6 @@
 import net from 'node:net';
 import {Readable} from 'node:stream';
+import {attributeResponse} from './attribute_response.js';
 import {
   headerValue,
   type ExchangeFailure,
@@ -22,6 +23,8 @@
   port: number;
   connectTimeoutMs: number;
   requestIdHeader: string;
+  /** See `ConnectionPoolOptions`. */
+  isRequestIdEchoed?: boolean;
   /** Called each time the connection becomes idle after an exchange. */
   onIdle: (connection: HttpConnection) => void;
   onClose: (connection: HttpConnection) => void;
@@ -40,6 +43,7 @@
   #isConnected = false;
   #isSkippingResponse = false;
   #isReusable = true;
+  #hasEarlierExchange = false;
   /** Number of socket events that show that the server is alive. */
   #readCount = 0;
   /** Keep-alive timeout that the server sent, in ms. */
@@ -210,18 +214,20 @@
     if (!current || this.#isSkippingResponse) {
       return false;
     }
-    const echoedId = headerValue(head.headers, this.#options.requestIdHeader);
-    const expectedId = current.request.requestId;
-    if (
-      expectedId !== undefined &&
-      echoedId !== undefined &&
-      echoedId !== expectedId
-    ) {
-      // An extra response to an earlier request.
+    const attribution = attributeResponse({
+      requestId: current.request.requestId,
+      echoedId: headerValue(head.headers, this.#options.requestIdHeader),
+      isIdRequired: this.#options.isRequestIdEchoed && this.#hasEarlierExchange,
+    });
+    if (attribution === 'earlierRequest') {
       this.#isSkippingResponse = true;
       this.#isReusable = false;
       return false;
     }
+    if (attribution === 'unknown') {
+      this.#fail('unattributed_response');
+      return false;
+    }
     current.request.onHead?.(head);
     current.head = head;
     current.sectionBytes = 0;
@@ -306,6 +312,7 @@
   }
 
   #becomeIdle(): void {
+    this.#hasEarlierExchange = true;
     if (this.isUsable && this.#reader.isBetweenResponses) {
       this.#options.onIdle(this);
     } else {
--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -129,6 +129,7 @@
       idleTtlMs: options.idleTtlMs,
       maxIdle: options.maxIdle,
       requestIdHeader: wireHeaders.requestId,
+      isRequestIdEchoed: true,
       onOpen: options.onConnection,
     });
     this.#queue = new WorkerQueue<PendingRequest>({
