test(relay): cut the answers of a worker through the whole relay

Cause: cuts were probed through ConnectionPool only, not through the relay and not through two relays with a hop between them.

Another test ends the relay beside the worker in the middle of a streamed answer.

--- a/daemon/relay/test/raw_mesh.ts
+++ b/daemon/relay/test/raw_mesh.ts
@@ -33,6 +33,8 @@
   requestCount: () => number;
   /** Largest number of requests that a raw worker received on one connection. */
   mostOnOneConnection: () => number;
+  /** Ends the relay beside the last worker with all its connections. */
+  endLastRelay: () => void;
   /**
    * Sends a request through the first relay.
    *
@@ -92,6 +94,7 @@
       port: ports[0]!,
       requestCount: () => requestCount,
       mostOnOneConnection: () => mostOnOneConnection,
+      endLastRelay: () => relays.pop()!.close(),
       describeCall: (id, path, options) =>
         describeCall(ports[0]!, id, path, options),
     });
