fix(exchange): reject a response whose head has a line that is not a header

Seen: a worker stops inside a header line and goes on with an empty line or with another response. The caller gets 200 with a short body that is framed as whole, or 200 with the signature of one answer and the body of another. A NUL in a header breaks the caller's connection off without a response.

Cause: the parser skips a line that is not a header, such as `Content-Len` or `HTTP/1.1 200 OK`. Without the length, the end of the connection delimits the body, and the headers of two responses merge. It also accepts control characters, with which Node.js sends no response.

Evidence: before, 14 of the 36 tests fail, through one relay and through two: "expected '200 who' to equal '502'" (a cut name, a space before the colon, an empty name), "expected '200 other' to equal '502'" (another response after a header line or inside a name), "expected '200 whole' to equal '502'" (a folded first line), and through one relay "expected 'broken off: ECONNRESET' to equal '502'" (NUL); after, all pass.

Each line of a head must now be a name and a value without control characters, or a further line of the last value; any other ends the exchange as malformed_response, so that the outcome is unknown.

--- a/calls/exchange/src/response_reader.ts
+++ b/calls/exchange/src/response_reader.ts
@@ -1,4 +1,5 @@
 import {HTTPParser} from 'http-parser-js';
+import {parseHeaderLine} from './parse_header_line.js';
 
 /** Status line and headers of a response. */
 export interface ResponseHead {
@@ -26,6 +27,7 @@
   state: string;
   isChunked: boolean;
   nextRequest(): void;
+  parseHeader(line: string, headers: string[]): void;
   BODY_CHUNKHEAD(): void;
   BODY_CHUNKTRAILERS(): void;
 }
@@ -68,6 +70,8 @@
     parser[HTTPParser.kOnBody] = (chunk, offset, length) =>
       handler.onBody(chunk.subarray(offset, offset + length));
     parser[HTTPParser.kOnMessageComplete] = () => handler.onEnd();
+    // The original parser skips a line that is not a header.
+    internals.parseHeader = parseHeaderLine;
     // The original parser takes an invalid chunk size as the last chunk.
     internals.BODY_CHUNKHEAD = readChunkHead;
     // The original parser stores trailers without a limit.
