fix(exchange): reject a head in which the heads of two responses have merged

Seen: a worker stops inside its status line or a header value and goes on with another response. The caller gets 200 with the body of a 500, or 200 with the headers of one answer and the body of another.

Cause: the rest of the line up to the next line end is valid as a reason or a value, so the head is taken as one with more headers.

A reason must not contain the start of a status line or a control character. A response with several request ids belongs to no request, and one with several signatures counts as unsigned; both leave the outcome unknown.

--- a/calls/exchange/src/attribute_response.ts
+++ b/calls/exchange/src/attribute_response.ts
@@ -5,8 +5,8 @@
 export interface AttributionInputs {
   /** Id of the request in progress, if it has one. */
   requestId: string | undefined;
-  /** Id that the response bears, if it bears one. */
-  echoedId: string | undefined;
+  /** Ids that the response bears; several when the heads of two responses have merged. */
+  echoedIds: ReadonlySet<string>;
   /**
    * Whether a response without an id may belong to an earlier request of the
    * connection.
@@ -17,14 +17,14 @@
 /** Determines the request to which a response on a connection belongs. */
 export function attributeResponse({
   requestId,
-  echoedId,
+  echoedIds,
   isIdRequired,
 }: AttributionInputs): ResponseAttribution {
-  if (requestId === undefined || echoedId === requestId) {
+  if (requestId === undefined) {
     return 'request';
   }
-  if (echoedId !== undefined) {
-    return 'earlierRequest';
+  if (echoedIds.size === 1) {
+    return echoedIds.has(requestId) ? 'request' : 'earlierRequest';
   }
-  return isIdRequired ? 'unknown' : 'request';
+  return echoedIds.size > 1 || isIdRequired ? 'unknown' : 'request';
 }
--- a/calls/exchange/src/exchange_types.ts
+++ b/calls/exchange/src/exchange_types.ts
@@ -115,3 +115,17 @@
   }
   return undefined;
 }
+
+/** Returns all values of a header by its lower-case name, each value once. */
+export function headerValues(
+  headers: readonly string[],
+  name: string,
+): Set<string> {
+  const values = new Set<string>();
+  for (let index = 0; index < headers.length; index += 2) {
+    if (headers[index]!.toLowerCase() === name) {
+      values.add(headers[index + 1]!);
+    }
+  }
+  return values;
+}
--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -3,6 +3,7 @@
 import {attributeResponse} from './attribute_response.js';
 import {
   headerValue,
+  headerValues,
   type ExchangeFailure,
   type ExchangeRequest,
   type ExchangeResult,
@@ -216,7 +217,7 @@
     }
     const attribution = attributeResponse({
       requestId: current.request.requestId,
-      echoedId: headerValue(head.headers, this.#options.requestIdHeader),
+      echoedIds: headerValues(head.headers, this.#options.requestIdHeader),
       isIdRequired: this.#options.isRequestIdEchoed && this.#hasEarlierExchange,
     });
     if (attribution === 'earlierRequest') {
--- a/calls/exchange/src/parse_header_line.ts
+++ b/calls/exchange/src/parse_header_line.ts
@@ -9,7 +9,7 @@
  * @throws Error when the line is not a header, for example because it was cut.
  */
 export function parseHeaderLine(line: string, headers: string[]): void {
-  if (CONTROL_PATTERN.test(line)) {
+  if (hasControlCharacter(line)) {
     throw new Error('header contains a control character');
   }
   if (BLANKS.includes(line.charAt(0))) {
@@ -27,6 +27,11 @@
   headers.push(name.slice(0, -1), trimBlanks(line.slice(name.length)));
 }
 
+/** Whether a part of a head contains a control character. */
+export function hasControlCharacter(text: string): boolean {
+  return CONTROL_PATTERN.test(text);
+}
+
 function trimBlanks(text: string): string {
   let start = 0;
   let end = text.length;
--- a/calls/exchange/src/response_reader.ts
+++ b/calls/exchange/src/response_reader.ts
@@ -1,5 +1,5 @@
 import {HTTPParser} from 'http-parser-js';
-import {parseHeaderLine} from './parse_header_line.js';
+import {hasControlCharacter, parseHeaderLine} from './parse_header_line.js';
 
 /** Status line and headers of a response. */
 export interface ResponseHead {
@@ -53,6 +53,7 @@
     const parser = this.#parser;
     const internals = parser as unknown as ParserInternals;
     parser[HTTPParser.kOnHeadersComplete] = info => {
+      checkReason(info.statusMessage);
       checkContentLengths(info.headers);
       const hasNoBody =
         info.statusCode < 200 ||
@@ -160,6 +161,13 @@
   }
 }
 
+/** Checks that no other response begins inside the status line. */
+function checkReason(reason: string): void {
+  if (hasControlCharacter(reason) || reason.includes(STATUS_LINE_START)) {
+    throw new Error('reason of the status is not valid');
+  }
+}
+
 function checkContentLengths(headers: readonly string[]): void {
   for (let index = 0; index < headers.length; index += 2) {
     const isContentLength = headers[index]!.toLowerCase() === 'content-length';
--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -2,6 +2,7 @@
   ConnectionPool,
   discardResponse,
   headerValue,
+  headerValues,
   type Exchange,
   type ExchangeResponse,
   type ExchangeResult,
@@ -409,8 +410,9 @@
   if (isRejected) {
     return ['rejected', String(status)];
   }
-  if (headerValue(headers, wireHeaders.workerSignature) === undefined) {
-    // An unsigned response may come from something other than the worker.
+  if (headerValues(headers, wireHeaders.workerSignature).size !== 1) {
+    // An unsigned response may come from something other than the worker; with
+    // two signatures, the heads of two responses have merged.
     return ['unknown', 'unsealed'];
   }
   if (RETRIED_STATUSES.has(status)) {
--- a/daemon/relay/test/malformed_response.test.ts
+++ b/daemon/relay/test/malformed_response.test.ts
@@ -8,6 +8,8 @@
 const HEAD = STATUS + FIELDS;
 const SIZED = 'Content-Length: 5\r\n\r\nwhole';
 const OTHER = rawResponse('id-0', 'other');
+const AGAIN = rawResponse(ID, 'again');
+const FAILED = AGAIN.replace('200 OK', '500 Failed');
 
 for (const layout of ['own worker', 'worker behind a hop'] as const) {
   describe(`relay with a worker whose response is malformed, ${layout}`, () => {
@@ -24,6 +26,11 @@
       ['two lengths', `${HEAD}Content-Length: 3\r\n${SIZED}`],
       ['another response after a header line', HEAD + OTHER],
       ['another response inside a header name', `${HEAD}Content-Le${OTHER}`],
+      ['a NUL in the status line', `HTTP/1.1 200\0OK\r\n${FIELDS}${SIZED}`],
+      ['another response after its status', `HTTP/1.1 200${FAILED}`],
+      ['another response inside its reason', `HTTP/1.1 200 O${FAILED}`],
+      ['another response inside a value', `${HEAD}X-A: b${OTHER}`],
+      ['its own response once more inside a value', `${HEAD}X-A: b${AGAIN}`],
     ];
     for (const [name, bytes] of malformed) {
       it(`guards against a success with ${name}`, async () => {
