fix(relay): take no 2xx or 3xx as the statement that a request did not run

Seen: a worker stops inside the head of its 200 and goes on with the headers of an earlier refusal. A request that is not idempotent and was run is sent to a second worker, and its caller is told 503, "not run".

Cause: X-Not-Executed counts in a response of any status.

Evidence: before, both new tests fail with "expected '503' to equal '502'"; after, they pass, and one worker has received the request.

Workers state it with 400, 421, 429 and 503 only. In a response below 400 it contradicts the status, which proves nothing: the outcome is unknown.

--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -387,6 +387,7 @@
 
 // Callers retry after these statuses, even a request that is not idempotent.
 const RETRIED_STATUSES = new Set([408, 429, 503]);
+const MIN_REFUSAL_STATUS = 400; // a success or a redirect contradicts the statement that the request was not run
 
 function toGateResult(result: ExchangeResult): GateResult {
   if (result.kind !== 'response') {
@@ -404,9 +405,12 @@
   status,
   headers,
 }: ExchangeResponse): [verdict: HopVerdict, reason: string] {
-  const isRejected =
-    status === 421 ||
+  const statesNotExecuted =
     headerValue(headers, wireHeaders.notExecuted) !== undefined;
+  if (statesNotExecuted && status < MIN_REFUSAL_STATUS) {
+    return ['unknown', 'unprovenRefusal'];
+  }
+  const isRejected = statesNotExecuted || status === 421;
   if (isRejected) {
     return ['rejected', String(status)];
   }
--- a/daemon/relay/test/repeated_refusal.test.ts
+++ b/daemon/relay/test/repeated_refusal.test.ts
@@ -156,3 +156,21 @@
     });
   });
 });
+
+describe('relay with a worker that repeats a refusal inside the head of an answer', () => {
+  for (const status of [429, 503]) {
+    it(`guards against a second run after a 200 that contains the headers of a ${status}`, async () => {
+      const handle: RawHandler = ({socket, id}) => {
+        const head = rawResponse(id, '').split('Content-Length')[0]!;
+        socket.write(`${head}X-A: b${rawRefusal(status)}`);
+      };
+      await withRawMesh('two workers', handle, async mesh => {
+        const post = {method: 'POST', body: 'b'};
+        expect(await mesh.describeCall('first', '/buy/1', post)).to.equal(
+          '502',
+        );
+        expect(mesh.requestCount()).to.equal(1);
+      });
+    });
+  }
+});
