fix(exchange): reject a response with a transfer coding other than chunked

Seen: a worker's Transfer-Encoding is cut, unknown, a list or repeated. The caller gets 200 with the chunk lines as a part of the body.

Cause: the parser takes every other value, and the last of several, for a body that the end of the connection delimits, and the relay drops the header when it frames the body again.

Evidence: before, 10 of the 58 tests fail, the same five through one relay and through two: "expected '200 5\r\nwhole\r\n0' to equal '502'" four times and "expected '200 whole' to equal '502'" for chunks in chunks; after, all pass.

Relays forward no TE header, so workers have no reason to use another coding. Any value but a single "chunked" ends the exchange as malformed_response.

--- a/calls/exchange/src/response_reader.ts
+++ b/calls/exchange/src/response_reader.ts
@@ -55,6 +55,7 @@
     parser[HTTPParser.kOnHeadersComplete] = info => {
       checkReason(info.statusMessage);
       checkContentLengths(info.headers);
+      checkTransferCodings(info.headers);
       const hasNoBody =
         info.statusCode < 200 ||
         info.statusCode === 204 ||
@@ -176,3 +177,16 @@
     }
   }
 }
+
+/** Checks that no coding is applied to the body that the parser cannot undo. */
+function checkTransferCodings(headers: readonly string[]): void {
+  const codings: string[] = [];
+  for (let index = 0; index < headers.length; index += 2) {
+    if (headers[index]!.toLowerCase() === 'transfer-encoding') {
+      codings.push(headers[index + 1]!.toLowerCase());
+    }
+  }
+  if (codings.length > 0 && codings.join() !== 'chunked') {
+    throw new Error('transfer coding is not supported');
+  }
+}
--- a/daemon/relay/test/malformed_response.test.ts
+++ b/daemon/relay/test/malformed_response.test.ts
@@ -10,6 +10,11 @@
 const OTHER = rawResponse('id-0', 'other');
 const AGAIN = rawResponse(ID, 'again');
 const FAILED = AGAIN.replace('200 OK', '500 Failed');
+const CHUNKS = '\r\n5\r\nwhole\r\n0\r\n\r\n';
+
+function codings(...values: string[]): string {
+  return values.map(value => `Transfer-Encoding: ${value}\r\n`).join('');
+}
 
 for (const layout of ['own worker', 'worker behind a hop'] as const) {
   describe(`relay with a worker whose response is malformed, ${layout}`, () => {
@@ -31,6 +36,11 @@
       ['another response inside its reason', `HTTP/1.1 200 O${FAILED}`],
       ['another response inside a value', `${HEAD}X-A: b${OTHER}`],
       ['its own response once more inside a value', `${HEAD}X-A: b${AGAIN}`],
+      ['an unknown transfer coding', `${HEAD}${codings('gzip')}${CHUNKS}`],
+      ['a list of codings', `${HEAD}${codings('gzip, chunked')}${CHUNKS}`],
+      ['a cut coding', `${HEAD}${codings('chun')}${CHUNKS}`],
+      ['two codings', `${HEAD}${codings('chunked', 'identity')}${CHUNKS}`],
+      ['chunks in chunks', `${HEAD}${codings('chunked', 'chunked')}${CHUNKS}`],
     ];
     for (const [name, bytes] of malformed) {
       it(`guards against a success with ${name}`, async () => {
@@ -48,6 +58,7 @@
       ['a folded value', `${HEAD}X-A: a\r\n b\r\n${SIZED}`],
       ['an empty value', `${HEAD}X-A:\r\n${SIZED}`],
       ['equal lengths', `${HEAD}Content-Length: 5\r\n${SIZED}`],
+      ['chunks', `${HEAD}${codings('Chunked')}${CHUNKS}`],
       ['letters beyond ASCII', `${HEAD}X-A: \xe9\r\n${SIZED}`],
     ];
     for (const [name, bytes] of valid) {
