fix(exchange): read no body after a status that has none

Seen: a worker's 304 or 204 that states a length or chunks, as a 304 may, reaches the caller as 504 at its deadline. After an interim response that does so, the relay reads the start of the answer as the body and reports 502.

Cause: the parser skips such a body only when the headers frame none.

Evidence: before, 12 of the 20 tests fail, through one relay and through two: "expected '504' to equal '204'", "expected '504' to equal '304'" and "expected '502' to equal '200 whole'"; after, all pass.

A response with status 1xx, 204 or 304 ends with its head (RFC 9112, section 6.3); bytes that follow are read as the next response.

--- a/calls/exchange/src/response_reader.ts
+++ b/calls/exchange/src/response_reader.ts
@@ -67,7 +67,8 @@
         isCloseDelimited:
           !hasNoBody && !internals.isChunked && internals.body_bytes === null,
       });
-      return skipsBody ? 1 : 0;
+      // The original parser reads a body after these statuses if one is framed.
+      return skipsBody || hasNoBody ? 1 : 0;
     };
     parser[HTTPParser.kOnBody] = (chunk, offset, length) =>
       handler.onBody(chunk.subarray(offset, offset + length));
