fix(exchange): reject a change of protocol that was not requested

Seen: a worker sends 101 with Upgrade before its answer. The caller waits until its deadline and gets 504.

Cause: the parser drops the rest of the read after such a head, and with it the answer or its start.

Evidence: before, the new test fails through one relay and through two with "expected '504' to equal '502'"; after, it passes.

Relays forward no Upgrade header, so a 101 is no answer in the protocol: the exchange ends at once as malformed_response.

--- a/calls/exchange/src/response_reader.ts
+++ b/calls/exchange/src/response_reader.ts
@@ -36,6 +36,7 @@
 const LENGTH_PATTERN = /^\d+$/;
 const MAX_HEAD_BYTES = 128 * 1024; // the parser counts one read of the previous body too, which is up to 64 KB
 const MAX_CHUNK_HEAD_BYTES = 1024; // extensions are rare and short
+const SWITCHING_PROTOCOLS = 101;
 const STATUS_LINE_START = 'HTTP/';
 
 HTTPParser.encoding = 'latin1';
@@ -53,6 +54,9 @@
     const parser = this.#parser;
     const internals = parser as unknown as ParserInternals;
     parser[HTTPParser.kOnHeadersComplete] = info => {
+      if (info.statusCode === SWITCHING_PROTOCOLS) {
+        throw new Error('change of protocol was not requested');
+      }
       checkReason(info.statusMessage);
       checkContentLengths(info.headers);
       checkTransferCodings(info.headers);
--- a/daemon/relay/test/bodiless_response.test.ts
+++ b/daemon/relay/test/bodiless_response.test.ts
@@ -47,5 +47,15 @@
         });
       });
     }
+
+    it('guards against waiting for an answer after a change of protocol', async () => {
+      const handle = sendInterim(
+        101,
+        'Connection: upgrade\r\nUpgrade: other\r\n',
+      );
+      await withRawMesh(layout, handle, async mesh => {
+        expect(await mesh.describeCall('first', '/read/1')).to.equal('502');
+      });
+    });
   });
 }
