fix(exchange): take no response without id as the answer to a part of a request

Seen: a worker sends a refusal without an id while the relay still sends a streamed body, and then runs the request. The caller is told 503, "not run".

Cause: bytes that arrive before the request was written count as its answer, although they may have been sent without regard to it.

A response that arrives before the whole request was written must bear the id of the request; a worker that refuses a long body early echoes it. One without an id leaves the outcome unknown.

--- a/calls/exchange/src/attribute_response.ts
+++ b/calls/exchange/src/attribute_response.ts
@@ -9,7 +9,7 @@
   echoedIds: ReadonlySet<string>;
   /**
    * Whether a response without an id may belong to an earlier request of the
-   * connection.
+   * connection, or was sent before the server had the whole request.
    */
   isIdRequired: boolean | undefined;
 }
--- a/calls/exchange/src/connection_pool.ts
+++ b/calls/exchange/src/connection_pool.ts
@@ -25,8 +25,8 @@
   requestIdHeader: string;
   /**
    * Whether the server echoes the request id in each response. If it does, a
-   * response without an id on a reused connection ends the exchange as
-   * `unattributed_response`.
+   * response without an id ends the exchange as `unattributed_response` on a
+   * reused connection, and while the request is being sent.
    */
   isRequestIdEchoed?: boolean;
   /** Called for each new connection. */
--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -13,6 +13,7 @@
   createPendingExchange,
   type PendingExchange,
 } from './pending_exchange.js';
+import {parseKeepAlive} from './parse_keep_alive.js';
 import {ResponseReader, type ResponseHead} from './response_reader.js';
 
 const MAX_BUFFERED_BYTES = 256 * 1024; // eight times the size of the largest usual body; larger ones are streamed
@@ -218,7 +219,9 @@
     const attribution = attributeResponse({
       requestId: current.request.requestId,
       echoedIds: headerValues(head.headers, this.#options.requestIdHeader),
-      isIdRequired: this.#options.isRequestIdEchoed && this.#hasEarlierExchange,
+      isIdRequired:
+        this.#options.isRequestIdEchoed &&
+        (this.#hasEarlierExchange || !current.isBodySent),
     });
     if (attribution === 'earlierRequest') {
       this.#isSkippingResponse = true;
@@ -419,8 +422,3 @@
 function hasBodyByDefault(method: string): boolean {
   return method === 'POST' || method === 'PUT' || method === 'PATCH';
 }
-
-function parseKeepAlive(value: string | undefined): number | undefined {
-  const match = value && /timeout=(\d+)/.exec(value);
-  return match ? Number(match[1]) * 1000 : undefined;
-}
--- a/cli/carobseam/src/explain_request.ts
+++ b/cli/carobseam/src/explain_request.ts
@@ -70,7 +70,7 @@
   silent:
     'the VM of the worker sent nothing, and no response could come any more',
   unattributed_response:
-    'the response bore no id or several and may belong to an earlier request',
+    'the response bore no id or several and may belong to another request',
   unprovenRefusal: 'the worker refused without stating that it ran nothing',
   unsealed: 'the response was not signed by the worker',
 };
