test(relay): reset answers without length, and reuse a refused id

Cause: a reset that overtakes bytes of a streamed answer without length, and a client that sends the same id once more to a worker that refused it, were not covered through the whole relay.

Change: answers of four sizes without length are reset at once and later, ten times each, in place of two sizes reset later, once each; a request that is not idempotent is sent again under its id to workers that repeat a refusal with that id on reused connections.

--- a/daemon/relay/test/cut_response.test.ts
+++ b/daemon/relay/test/cut_response.test.ts
@@ -11,15 +11,13 @@
 const LARGE_BYTES = 400 * 1024; // streamed by the relay
 const POST = {method: 'POST', body: 'b'};
 
-type CutHandler = (socket: net.Socket) => void;
-
-const cuts: Record<string, CutHandler> = {
-  closed: socket => socket.end(),
-  reset: socket => {
+const cuts = {
+  closed: (socket: net.Socket) => socket.end(),
+  reset: (socket: net.Socket) => {
     // The reset must not overtake the bytes.
     setTimeout(() => socket.resetAndDestroy(), 2);
   },
-  'reset at once': socket => socket.resetAndDestroy(),
+  'reset at once': (socket: net.Socket) => socket.resetAndDestroy(),
 };
 
 const chunked = (body: string) =>
@@ -131,18 +129,22 @@
     }
 
     const closing = rawResponse(ID, 'x'.repeat(LARGE_BYTES), 'X-A: b');
-    for (const bytes of [100, LARGE_BYTES]) {
-      it(`guards against a whole answer of ${bytes} bytes without length that is reset`, async () => {
-        const handle: RawHandler = ({socket}) => {
-          socket.write(closing.slice(0, bytes), () => cuts.reset!(socket));
-        };
-        await withRawMesh(layout, handle, async mesh => {
-          expect(await mesh.describeCall(ID, '/buy/1', POST)).to.be.oneOf([
-            'broken off: ECONNRESET',
-            '502',
-          ]);
+    for (const cutName of ['reset', 'reset at once'] as const) {
+      for (const bytes of [100, 1000, 300 * 1024, LARGE_BYTES]) {
+        it(`guards against a whole answer of ${bytes} bytes without length that is ${cutName}`, async () => {
+          const handle: RawHandler = ({socket}) => {
+            socket.write(closing.slice(0, bytes), () => cuts[cutName](socket));
+          };
+          await withRawMesh(layout, handle, async mesh => {
+            for (let count = 0; count < 10; count++) {
+              expect(await mesh.describeCall(ID, '/buy/1', POST)).to.be.oneOf([
+                'broken off: ECONNRESET',
+                '502',
+              ]);
+            }
+          });
         });
-      });
+      }
     }
   });
 }
--- a/daemon/relay/test/repeated_refusal.test.ts
+++ b/daemon/relay/test/repeated_refusal.test.ts
@@ -131,6 +131,30 @@
 }
 
 describe('relay with two workers that repeat a refusal', () => {
+  it('guards against a second run of a request whose id was refused before', async () => {
+    let refusals = 0;
+    const handle: RawHandler = ({socket, id, earlierRequests}) => {
+      const isFirstCall = refusals < 2;
+      if (isFirstCall || earlierRequests > 0) {
+        refusals++;
+        socket.write(rawRefusal(503, id));
+      }
+      if (!isFirstCall) {
+        setTimeout(() => socket.write(rawResponse(id, `ran ${id}`)), RUN_MS);
+      }
+    };
+    await withRawMesh('two workers', handle, async mesh => {
+      const post = {method: 'POST', body: 'b'};
+      expect(await mesh.describeCall('same', '/buy/1', post)).to.equal('503');
+      for (let count = 0; count < 3; count++) {
+        expect(await mesh.describeCall('same', '/buy/1', post)).to.equal(
+          '200 ran same',
+        );
+      }
+      expect(mesh.requestCount()).to.equal(5);
+    });
+  });
+
   it('guards against a second run of a request that is not idempotent', async () => {
     const handle = refuseThenRun(rawRefusal(503));
     await withRawMesh('two workers', handle, async mesh => {
