fix(exchange): take no response without id as an answer after an extra response

Seen: a worker sends a refusal with the id of another request and one without an id on a new connection, and runs the request. A request that is not idempotent is sent to a second worker, and its caller is told 503.

Cause: the first refusal is skipped as an extra response, but the next one still counts as the first response of the connection.

Evidence: before, the new test fails with "expected '503' to equal '502'"; after, it passes, and one worker has received the request.

A connection that brought an extra response carries answers to other requests, so from then on a response must bear the id of its request.

--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -45,7 +45,8 @@
   #isConnected = false;
   #isSkippingResponse = false;
   #isReusable = true;
-  #hasEarlierExchange = false;
+  /** Whether a response to an earlier request may arrive. */
+  #hasEarlierRequest = false;
   /** Number of socket events that show that the server is alive. */
   #readCount = 0;
   /** Keep-alive timeout that the server sent, in ms. */
@@ -221,9 +222,10 @@
       echoedIds: headerValues(head.headers, this.#options.requestIdHeader),
       isIdRequired:
         this.#options.isRequestIdEchoed &&
-        (this.#hasEarlierExchange || !current.isBodySent),
+        (this.#hasEarlierRequest || !current.isBodySent),
     });
     if (attribution === 'earlierRequest') {
+      this.#hasEarlierRequest = true;
       this.#isSkippingResponse = true;
       this.#isReusable = false;
       return false;
@@ -316,7 +318,7 @@
   }
 
   #becomeIdle(): void {
-    this.#hasEarlierExchange = true;
+    this.#hasEarlierRequest = true;
     if (this.isUsable && this.#reader.isBetweenResponses) {
       this.#options.onIdle(this);
     } else {
--- a/daemon/relay/test/repeated_refusal.test.ts
+++ b/daemon/relay/test/repeated_refusal.test.ts
@@ -131,6 +131,18 @@
 }
 
 describe('relay with two workers that repeat a refusal', () => {
+  it('guards against a second run after an extra refusal with the id of another request and one without', async () => {
+    const handle: RawHandler = ({socket, id}) => {
+      socket.write(rawRefusal(503, 'other') + rawRefusal(503));
+      setTimeout(() => socket.write(rawResponse(id, `ran ${id}`)), RUN_MS);
+    };
+    await withRawMesh('two workers', handle, async mesh => {
+      const post = {method: 'POST', body: 'b'};
+      expect(await mesh.describeCall('first', '/buy/1', post)).to.equal('502');
+      expect(mesh.requestCount()).to.equal(1);
+    });
+  });
+
   it('guards against a second run of a request whose id was refused before', async () => {
     let refusals = 0;
     const handle: RawHandler = ({socket, id, earlierRequests}) => {
