fix(relay): reset the connection of an incomplete answer that has no framing

Seen: a worker breaks off a streamed answer, or its time is up, and the caller uses HTTP/1.0. It gets 200 with a short body and a normal end of the connection, which looks whole.

Cause: a streamed answer is sent in chunks, but to HTTP/1.0 the end of the connection delimits it, and the relay closes the connection normally.

Evidence: before, 2 of the 3 new tests fail with "expected 'end' to equal 'ECONNRESET'"; after, all pass.

An answer that is neither chunked nor given a length is broken off with a reset. An answer in chunks is closed as before: its last chunk is missing.

--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -11,7 +11,7 @@
 import type {RelayContext} from './relay_context.js';
 import {RequestDispatcher} from './request_dispatcher.js';
 import {computeRetryAfterMs} from './retry_after.js';
-import {sendResponse} from './send_response.js';
+import {breakOff, sendResponse} from './send_response.js';
 
 const NO_CONFIG_RETRY_MS = 200; // a relay reads its configuration within this time after its start
 const DRAINING_RETRY_MS = 50; // another relay of the data centre can serve the retry at once
@@ -200,7 +200,7 @@
     }
     const fields = {route: route.name, reason};
     this.#recordEnd(request, arrivedMs, 'brokenOff', fields);
-    response.destroy();
+    breakOff(response);
   }
 
   #computeTimes(
--- a/calls/relay/src/send_response.ts
+++ b/calls/relay/src/send_response.ts
@@ -30,7 +30,7 @@
       return;
     }
     receiver.writeHead(response.status, headers);
-    body.on('error', () => receiver.destroy());
+    body.on('error', () => breakOff(receiver));
     receiver.on('close', () => body.destroy());
     body.pipe(receiver);
     return;
@@ -41,3 +41,14 @@
   receiver.writeHead(response.status, headers);
   receiver.end(response.body);
 }
+
+/**
+ * Ends a response that is incomplete. If only the end of the connection
+ * delimits its body, as for HTTP/1.0, a reset shows that it is incomplete.
+ */
+export function breakOff(receiver: ServerResponse): void {
+  if (receiver.headersSent && !receiver.chunkedEncoding) {
+    receiver.socket?.resetAndDestroy();
+  }
+  receiver.destroy();
+}
--- a/daemon/relay/test/cut_response.test.ts
+++ b/daemon/relay/test/cut_response.test.ts
@@ -1,5 +1,6 @@
+import {wireHeaders} from '@carobseam/platform.adapter';
 import {expect} from 'chai';
-import type net from 'node:net';
+import net from 'node:net';
 import {
   rawResponse,
   withRawMesh,
@@ -173,3 +174,45 @@
     }
   }
 });
+
+describe('relay with a caller that uses HTTP/1.0', () => {
+  /** Returns how the connection ended. */
+  const describeEnd = (port: number, id: string): Promise<string> =>
+    new Promise(resolve => {
+      const socket = net.connect(port, '127.0.0.1');
+      socket.on('data', () => {});
+      socket.on('end', () => resolve('end'));
+      socket.on('error', (error: NodeJS.ErrnoException) =>
+        resolve(error.code!),
+      );
+      const headers = `Host: hints.example\r\n${wireHeaders.requestId}: ${id}\r\n${wireHeaders.deadlineMs}: 500\r\n`;
+      socket.write(`GET /read/1 HTTP/1.0\r\n${headers}\r\n`);
+    });
+
+  const streamed = rawResponse(ID, 'x'.repeat(LARGE_BYTES));
+  const ends: Array<[string, (socket: net.Socket) => void]> = [
+    [
+      'a streamed answer that its worker cuts',
+      socket => setTimeout(() => cuts.closed(socket), 100),
+    ],
+    ['a streamed answer at the deadline', () => {}],
+  ];
+  for (const [name, endConnection] of ends) {
+    it(`guards against a whole end of ${name}`, async () => {
+      const handle: RawHandler = ({socket}) => {
+        socket.write(streamed.slice(0, -1));
+        endConnection(socket);
+      };
+      await withRawMesh('own worker', handle, async mesh => {
+        expect(await describeEnd(mesh.port, ID)).to.equal('ECONNRESET');
+      });
+    });
+  }
+
+  it('passes on a whole streamed answer', async () => {
+    const handle: RawHandler = ({socket}) => socket.write(streamed);
+    await withRawMesh('own worker', handle, async mesh => {
+      expect(await describeEnd(mesh.port, ID)).to.equal('end');
+    });
+  });
+});
