--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -1,7 +1,9 @@
 import net from 'node:net';
 import {Readable} from 'node:stream';
+import {attributeResponse} from './attribute_response.js';
 import {
   headerValue,
+  headerValues,
   type ExchangeFailure,
   type ExchangeRequest,
   type ExchangeResult,
@@ -11,6 +13,7 @@
   createPendingExchange,
   type PendingExchange,
 } from './pending_exchange.js';
+import {parseKeepAlive} from './parse_keep_alive.js';
 import {ResponseReader, type ResponseHead} from './response_reader.js';
 
 const MAX_BUFFERED_BYTES = 256 * 1024; // eight times the size of the largest usual body; larger ones are streamed
@@ -22,6 +25,8 @@
   port: number;
   connectTimeoutMs: number;
   requestIdHeader: string;
+  /** See `ConnectionPoolOptions`. */
+  isRequestIdEchoed?: boolean;
   /** Called each time the connection becomes idle after an exchange. */
   onIdle: (connection: HttpConnection) => void;
   onClose: (connection: HttpConnection) => void;
@@ -40,6 +45,8 @@
   #isConnected = false;
   #isSkippingResponse = false;
   #isReusable = true;
+  /** Whether a response to an earlier request may arrive. */
+  #hasEarlierRequest = false;
   /** Number of socket events that show that the server is alive. */
   #readCount = 0;
   /** Keep-alive timeout that the server sent, in ms. */
@@ -218,18 +225,23 @@
     if (!current || this.#isSkippingResponse) {
       return false;
     }
-    const echoedId = headerValue(head.headers, this.#options.requestIdHeader);
-    const expectedId = current.request.requestId;
-    if (
-      expectedId !== undefined &&
-      echoedId !== undefined &&
-      echoedId !== expectedId
-    ) {
-      // An extra response to an earlier request.
+    const attribution = attributeResponse({
+      requestId: current.request.requestId,
+      echoedIds: headerValues(head.headers, this.#options.requestIdHeader),
+      isIdRequired:
+        this.#options.isRequestIdEchoed &&
+        (this.#hasEarlierRequest || !current.isBodySent),
+    });
+    if (attribution === 'earlierRequest') {
+      this.#hasEarlierRequest = true;
       this.#isSkippingResponse = true;
       this.#isReusable = false;
       return false;
     }
+    if (attribution === 'unknown') {
+      this.#fail('unattributed_response');
+      return false;
+    }
     current.request.onHead?.(head);
     current.head = head;
     current.sectionBytes = 0;
@@ -314,6 +326,7 @@
   }
 
   #becomeIdle(): void {
+    this.#hasEarlierRequest = true;
     if (this.isUsable && this.#reader.isBetweenResponses) {
       this.#options.onIdle(this);
     } else {
@@ -419,8 +432,3 @@
 function hasBodyByDefault(method: string): boolean {
   return method === 'POST' || method === 'PUT' || method === 'PATCH';
 }
-
-function parseKeepAlive(value: string | undefined): number | undefined {
-  const match = value && /timeout=(\d+)/.exec(value);
-  return match ? Number(match[1]) * 1000 : undefined;
-}
--- a/calls/exchange/src/response_reader.ts
+++ b/calls/exchange/src/response_reader.ts
@@ -1,4 +1,5 @@
 import {HTTPParser} from 'http-parser-js';
+import {hasControlCharacter, parseHeaderLine} from './parse_header_line.js';
 
 /** Status line and headers of a response. */
 export interface ResponseHead {
@@ -26,6 +27,7 @@
   state: string;
   isChunked: boolean;
   nextRequest(): void;
+  parseHeader(line: string, headers: string[]): void;
   BODY_CHUNKHEAD(): void;
   BODY_CHUNKTRAILERS(): void;
 }
@@ -34,6 +36,7 @@
 const LENGTH_PATTERN = /^\d+$/;
 const MAX_HEAD_BYTES = 128 * 1024; // the parser counts one read of the previous body too, which is up to 64 KB
 const MAX_CHUNK_HEAD_BYTES = 1024; // extensions are rare and short
+const SWITCHING_PROTOCOLS = 101;
 const STATUS_LINE_START = 'HTTP/';
 
 HTTPParser.encoding = 'latin1';
@@ -51,7 +54,12 @@
     const parser = this.#parser;
     const internals = parser as unknown as ParserInternals;
     parser[HTTPParser.kOnHeadersComplete] = info => {
+      if (info.statusCode === SWITCHING_PROTOCOLS) {
+        throw new Error('change of protocol was not requested');
+      }
+      checkReason(info.statusMessage);
       checkContentLengths(info.headers);
+      checkTransferCodings(info.headers);
       const hasNoBody =
         info.statusCode < 200 ||
         info.statusCode === 204 ||
@@ -63,11 +71,14 @@
         isCloseDelimited:
           !hasNoBody && !internals.isChunked && internals.body_bytes === null,
       });
-      return skipsBody ? 1 : 0;
+      // The original parser reads a body after these statuses if one is framed.
+      return skipsBody || hasNoBody ? 1 : 0;
     };
     parser[HTTPParser.kOnBody] = (chunk, offset, length) =>
       handler.onBody(chunk.subarray(offset, offset + length));
     parser[HTTPParser.kOnMessageComplete] = () => handler.onEnd();
+    // The original parser skips a line that is not a header.
+    internals.parseHeader = parseHeaderLine;
     // The original parser takes an invalid chunk size as the last chunk.
     internals.BODY_CHUNKHEAD = readChunkHead;
     // The original parser stores trailers without a limit.
@@ -156,6 +167,13 @@
   }
 }
 
+/** Checks that no other response begins inside the status line. */
+function checkReason(reason: string): void {
+  if (hasControlCharacter(reason) || reason.includes(STATUS_LINE_START)) {
+    throw new Error('reason of the status is not valid');
+  }
+}
+
 function checkContentLengths(headers: readonly string[]): void {
   for (let index = 0; index < headers.length; index += 2) {
     const isContentLength = headers[index]!.toLowerCase() === 'content-length';
@@ -164,3 +182,16 @@
     }
   }
 }
+
+/** Checks that no coding is applied to the body that the parser cannot undo. */
+function checkTransferCodings(headers: readonly string[]): void {
+  const codings: string[] = [];
+  for (let index = 0; index < headers.length; index += 2) {
+    if (headers[index]!.toLowerCase() === 'transfer-encoding') {
+      codings.push(headers[index + 1]!.toLowerCase());
+    }
+  }
+  if (codings.length > 0 && codings.join() !== 'chunked') {
+    throw new Error('transfer coding is not supported');
+  }
+}
--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -2,6 +2,7 @@
   ConnectionPool,
   discardResponse,
   headerValue,
+  headerValues,
   type Exchange,
   type ExchangeResponse,
   type ExchangeResult,
@@ -130,6 +131,7 @@
       idleTtlMs: options.idleTtlMs,
       maxIdle: options.maxIdle,
       requestIdHeader: wireHeaders.requestId,
+      isRequestIdEchoed: true,
       onOpen: options.onConnection,
     });
     this.#queue = new WorkerQueue<PendingRequest>({
@@ -396,6 +398,7 @@
 
 // Callers retry after these statuses, even a request that is not idempotent.
 const RETRIED_STATUSES = new Set([408, 429, 503]);
+const MIN_REFUSAL_STATUS = 400; // a success or a redirect contradicts the statement that the request was not run
 
 function toGateResult(result: ExchangeResult): GateResult {
   if (result.kind !== 'response') {
@@ -413,14 +416,18 @@
   status,
   headers,
 }: ExchangeResponse): [verdict: HopVerdict, reason: string] {
-  const isRejected =
-    status === 421 ||
+  const statesNotExecuted =
     headerValue(headers, wireHeaders.notExecuted) !== undefined;
+  if (statesNotExecuted && status < MIN_REFUSAL_STATUS) {
+    return ['unknown', 'unprovenRefusal'];
+  }
+  const isRejected = statesNotExecuted || status === 421;
   if (isRejected) {
     return ['rejected', String(status)];
   }
-  if (headerValue(headers, wireHeaders.workerSignature) === undefined) {
-    // An unsigned response may come from something other than the worker.
+  if (headerValues(headers, wireHeaders.workerSignature).size !== 1) {
+    // An unsigned response may come from something other than the worker; with
+    // two signatures, the heads of two responses have merged.
     return ['unknown', 'unsealed'];
   }
   if (RETRIED_STATUSES.has(status)) {
