fix(soak): start no second relay for a VM whose relay two faults have ended

Callers saw nothing; relay processes were still running after their soaks had ended, with their ports taken.

terminateReloaded sends SIGTERM and SIGHUP to one process. A relay that has just been started has no handler for SIGHUP yet and is ended by it. Then both faults restarted the VM's relay; the second start replaced the handle of the first process, and SoakMesh.close() and the exit handler end only the processes whose handles are kept.

startRelay now starts nothing while the VM's relay is running or after close(). SIGHUP to the soak itself ends its relays too, as SIGINT does.

--- a/testing/soak/src/bin.ts
+++ b/testing/soak/src/bin.ts
@@ -52,7 +52,7 @@
   });
 
 // An exit, unlike the end by a signal, kills the relays.
-for (const signal of ['SIGINT', 'SIGTERM']) {
+for (const signal of ['SIGHUP', 'SIGINT', 'SIGTERM']) {
   process.once(signal, () => process.exit(1));
 }
 await program.parseAsync();
--- a/testing/soak/src/soak_mesh.ts
+++ b/testing/soak/src/soak_mesh.ts
@@ -94,6 +94,7 @@
   readonly #options: SoakMeshOptions;
   #incarnations = 0;
   #storeAddress = '';
+  #isClosed = false;
 
   constructor(options: SoakMeshOptions) {
     this.#options = options;
@@ -184,7 +185,14 @@
     };
   }
 
+  /**
+   * Starts a VM's relay, unless one is running: of two faults that meet the same
+   * end, each restarts it.
+   */
   startRelay(vm: SoakVm): void {
+    if (this.#isClosed || vm.process?.isRunning) {
+      return;
+    }
     const file = path.join(this.logDir, `relay-${vm.index}.yaml`);
     const logFd = openSync(file.replace('.yaml', '.log'), 'a');
     vm.process = new ProcessHandle({
@@ -197,6 +205,7 @@
   }
 
   async close(): Promise<void> {
+    this.#isClosed = true;
     await Promise.all(this.vms.map(vm => vm.process?.kill()));
     for (const vm of this.vms) {
       vm.inboundProxy.close();
