--- a/testing/soak/src/bin.ts
+++ b/testing/soak/src/bin.ts
@@ -1,6 +1,7 @@
 import {Command, InvalidArgumentError} from 'commander';
 import {runSoak} from './run_soak.js';
-import {meshFaults, vmFaults} from './soak_faults.js';
+import {meshFaults} from './mesh_faults.js';
+import {vmFaults} from './soak_faults.js';
 
 const MS_PER_MINUTE = 60_000;
 const MAX_VMS = 250; // each has its own loopback address
--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -3,9 +3,11 @@
 import {wireHeaders} from '@carobseam/platform.adapter';
 import http from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
+import {LeavingCallers} from './leaving_callers.js';
 import {Ledger} from './ledger.js';
+import {meshFaults} from './mesh_faults.js';
 import {SoakCaller, type SoakCounts} from './soak_caller.js';
-import {harm, meshFaults, vmFaults, type FaultContext} from './soak_faults.js';
+import {harm, vmFaults, type FaultContext} from './soak_faults.js';
 import {isCalmSince, SOAK_HOST, SoakMesh, type SoakVm} from './soak_mesh.js';
 
 const CALLERS_PER_VM = 2;
@@ -42,6 +44,8 @@
 export interface SoakResult extends SoakCounts {
   seed: number;
   doubled: number;
+  /** Requests that reached workers long after their callers had left. */
+  late: number;
   faults: number;
   broken: string[];
 }
@@ -58,6 +62,7 @@
   readonly #trafficRandom: RandomSource;
   readonly #ledger = new Ledger();
   readonly #mesh: SoakMesh;
+  readonly #leavers: LeavingCallers;
   readonly #broken: string[] = [];
   readonly #counts: SoakCounts = {
     requests: 0,
@@ -79,6 +84,13 @@
       retryBudget: RETRY_BUDGETS[options.seed % RETRY_BUDGETS.length]!,
       random: this.#trafficRandom,
       ledger: this.#ledger,
+      onArrival: (id, vm) => this.#leavers.arrive(id, vm),
+    });
+    this.#leavers = new LeavingCallers({
+      vms: this.#mesh.vms,
+      random: this.#trafficRandom,
+      ledger: this.#ledger,
+      broken: text => this.#tellBroken(text),
     });
   }
 
@@ -98,15 +110,17 @@
       );
     }
     await Promise.all([...this.#running, this.#meshFault, checks]);
+    this.#restartEnded();
     await this.#checkRecovery();
     callers.forEach(caller => caller.stop());
     await Promise.all(calls);
-    const doubled = callers.map(caller => caller.finish());
+    const doubled = [...callers, this.#leavers].map(part => part.finish());
     await this.#mesh.close();
     return {
       seed,
       ...this.#counts,
       doubled: doubled.reduce((sum, count) => sum + count, 0),
+      late: this.#leavers.lateCount,
       faults: this.#faults,
       broken: this.#broken.slice(0, MAX_TOLD),
     };
@@ -133,6 +147,7 @@
   #injectFault(): void {
     const context: FaultContext = {
       mesh: this.#mesh,
+      leavers: this.#leavers,
       random: this.#random,
       broken: text => this.#tellBroken(text),
       lastRunMs: id => this.#ledger.lastRunMs(id),
@@ -163,6 +178,7 @@
   async #checkConfig(endMs: number): Promise<void> {
     while (performance.now() < endMs) {
       await pause(CONFIG_INTERVAL_MS);
+      this.#restartEnded();
       this.#mesh.changeConfig();
       const {version} = this.#mesh;
       const changedMs = performance.now();
@@ -177,6 +193,17 @@
     }
   }
 
+  /** Reports relays that ended by themselves; the platform restarts them. */
+  #restartEnded(): void {
+    for (const vm of this.#mesh.vms) {
+      if (!vm.isBusy && !vm.process!.isRunning) {
+        this.#tellBroken(`the relay of vm-${vm.index} ended by itself`);
+        vm.cutMs = performance.now();
+        this.#mesh.startRelay(vm);
+      }
+    }
+  }
+
   async #checkVersion(
     vm: SoakVm,
     version: number,
--- a/testing/soak/src/soak_faults.ts
+++ b/testing/soak/src/soak_faults.ts
@@ -1,6 +1,7 @@
 import type {RandomSource} from '@carobseam/core.types';
 import {setTimeout as pause} from 'node:timers/promises';
 import type {LinkMood} from './fault_proxy.js';
+import type {LeavingCallers} from './leaving_callers.js';
 import {
   DRAIN_MS,
   GRACE_MS,
@@ -22,8 +23,6 @@
 const THROTTLE_PERIOD_MS = 100;
 const RELOADS = 4;
 const MAX_RELOAD_GAP_MS = 400;
-const ROLL_VMS = 6;
-const ROLL_GAP_MS = 300;
 const LAPSE_MS = 4500; // three missed reports of a worker
 const CONTACT_MS = 3000; // bounds hold for relays that were calm for as long
 const SERVE_ON_MS = 400; // a drained worker serves a little longer than it must
@@ -33,11 +32,14 @@
 const LIMIT_SLACK_REQUESTS = 5;
 const MAX_LIMIT_PER_S = 12; // an equal share of the soak's requests is about twice as many
 const MAX_LIMITED_MS = 9000;
+const MIN_LEAVING_MS = 1500;
+const MAX_LEAVING_MS = 4500; // longer than relays are throttled, so that callers leave after it too
 const MAX_RESTART_MS = 600; // the platform restarts a process after a short pause
 
 /** What a fault needs. */
 export interface FaultContext {
   mesh: SoakMesh;
+  leavers: LeavingCallers;
   random: RandomSource;
   /** Reports a broken promise. */
   broken: (text: string) => void;
@@ -45,13 +47,18 @@
 }
 
 type VmFault = (vm: SoakVm, context: FaultContext) => Promise<void>;
-type MeshFault = (context: FaultContext) => Promise<void>;
 
-function faultMs(random: RandomSource): number {
+/** Length of a fault, in ms. */
+export function faultMs(random: RandomSource): number {
   return between(random, MIN_FAULT_MS, MAX_FAULT_MS);
 }
 
-function between(random: RandomSource, min: number, max: number): number {
+/** A number of a range, in the range's unit. */
+export function between(
+  random: RandomSource,
+  min: number,
+  max: number,
+): number {
   return min + random.nextFloat() * (max - min);
 }
 
@@ -230,6 +237,14 @@
     vm.worker.mood = 'sound';
   };
 
+/** Callers of this and of another VM leave before they have an answer. */
+const leaveCallers: VmFault = async (vm, {mesh, leavers, random}) => {
+  const endMs =
+    performance.now() + between(random, MIN_LEAVING_MS, MAX_LEAVING_MS);
+  const other = mesh.vms[random.nextInt(mesh.vms.length)]!;
+  await Promise.all([leavers.visit(vm, endMs), leavers.visit(other, endMs)]);
+};
+
 /** Runs a fault and notes that the VM is not calm. */
 export async function harm(
   vm: SoakVm,
@@ -278,78 +293,11 @@
   cutAnswers: {run: spoil('cutting'), isWorkerOnly: true},
   doubleAnswers: {run: spoil('doubling'), isWorkerOnly: true},
   failAnswers: {run: spoil('failing'), isWorkerOnly: true},
-};
-
-const awayStore =
-  (mood: 'refusing' | 'resetting' | 'silent'): MeshFault =>
-  async ({mesh, random}) => {
-    mesh.storeFaultMs = Infinity;
-    mesh.store.mode = mood;
-    await pause(faultMs(random));
-    mesh.store.mode = 'serving';
-    mesh.storeFaultMs = performance.now();
-  };
-
-/** Restores the store from a copy, after an outage that may be unnoticeable. */
-const restoreStore: MeshFault = async ({mesh, random}) => {
-  const restores = 1 + random.nextInt(MAX_RESTORES);
-  for (let count = 0; count < restores; count++) {
-    const copy = mesh.store.copy();
-    await pause(between(random, 0, MAX_COPY_AGE_MS));
-    for (
-      let reports = random.nextInt(MAX_LOST_REPORTS);
-      reports > 0;
-      reports--
-    ) {
-      mesh.reportWorkers();
-    }
-    mesh.storeFaultMs = Infinity;
-    mesh.store.mode = 'resetting';
-    await pause(random.nextInt(2) * faultMs(random));
-    mesh.store.mode = 'serving';
-    await mesh.restoreStore(copy);
-    mesh.storeFaultMs = performance.now();
-  }
-};
-
-const MAX_RESTORES = 2;
-const MAX_LOST_REPORTS = 6; // of each worker; more than are written again, so that the revision stays behind
-const MAX_COPY_AGE_MS = 4000; // covers a change of the configuration and some of the workers
-
-const stormConfig: MeshFault = async ({mesh}) => {
-  for (let change = 0; change < STORM_CHANGES; change++) {
-    mesh.changeConfig();
-    await pause(STORM_GAP_MS);
-  }
-};
-
-const STORM_CHANGES = 10;
-const STORM_GAP_MS = 60; // as fast as the users' operators change it
-
-/** Faults of the store and changes of the operators. */
-export const meshFaults: Record<string, MeshFault> = {
-  storeRefuses: awayStore('refusing'),
-  storeResets: awayStore('resetting'),
-  storeSilent: awayStore('silent'),
-  compact: ({mesh}) => Promise.resolve(mesh.store.compact()),
-  restoreStore,
-  stormConfig,
-  /** Stops one relay after the other while others lack processor time. */
-  rollStarved: async context => {
-    const idle = context.mesh.vms.filter(vm => !vm.isBusy).slice(0, ROLL_VMS);
-    const faults = [vmFaults['terminate']!, vmFaults['starve']!];
-    await Promise.all(
-      idle.map(async (vm, index) => {
-        await pause(index * ROLL_GAP_MS);
-        if (!vm.isBusy) {
-          await harm(vm, faults[index % faults.length]!, context);
-        }
-      }),
-    );
-  },
-  killAll: async context => {
-    const {vms} = context.mesh;
-    const idle = vms.filter(vm => !vm.isBusy);
-    await Promise.all(idle.map(vm => harm(vm, vmFaults['kill']!, context)));
-  },
+  repeatRefusals: {run: spoil('repeating'), isWorkerOnly: true},
+  repeatUnnamedRefusals: {run: spoil('repeatingUnnamed'), isWorkerOnly: true},
+  closeInHeads: {run: spoil('closingInHead'), isWorkerOnly: true},
+  resetInHeads: {run: spoil('resettingInHead'), isWorkerOnly: true},
+  leaveCallers: {run: leaveCallers, isWorkerOnly: true},
+  leaveStarved: {run: together(starve, leaveCallers), isWorkerOnly: false},
+  leaveThrottled: {run: together(throttle, leaveCallers), isWorkerOnly: false},
 };
--- a/testing/soak/src/soak_mesh.ts
+++ b/testing/soak/src/soak_mesh.ts
@@ -29,10 +29,11 @@
 const SLOTS = 8;
 const START_GAP_MS = 100; // a hundred relays that start at once exhaust the processor
 const REWRITE_MS = 1500; // after a restore; the users grant about two seconds
-const SERVICE = 'desk' as ServiceName;
 const WIDE_MBPS = 100;
 const THIN_MBPS = 5;
 
+/** Service of all workers. */
+export const SOAK_SERVICE = 'desk' as ServiceName;
 /** Host of the requests that the configuration routes. */
 export const SOAK_HOST = 'hints.example';
 /** Timeout of the routes; callers grant more, in ms. */
@@ -81,6 +82,8 @@
   retryBudget: {retryBudgetRatio: number; retryBudgetSlack: number};
   random: RandomSource;
   ledger: Ledger;
+  /** Hears of each request that reaches the worker of a VM. */
+  onArrival: (requestId: string, vm: SoakVm) => void;
 }
 
 /** Everything that a soak runs: store, workers, proxies, relay processes. */
@@ -175,7 +178,7 @@
   entryOf(vm: SoakVm): MeshWorker {
     return {
       id: vm.worker.id as WorkerId,
-      service: SERVICE,
+      service: SOAK_SERVICE,
       address: `${publicHost(vm.index)}:${this.#options.basePort}`,
       dataCentre: 'wien' as DataCentreName,
       slots: SLOTS,
@@ -226,7 +229,7 @@
       vm: `vm-${index}`,
       vmAddress: host,
       dataCentre: 'wien',
-      service: SERVICE,
+      service: SOAK_SERVICE,
       workerAddress: `${shown}:${basePort}`,
       outboundAddress: `${host}:${basePort + 1}`,
       inboundAddress: `${host}:${basePort + 2}`,
@@ -253,6 +256,7 @@
         slots: SLOTS,
         random,
         ledger,
+        onArrival: id => this.#options.onArrival(id, vm),
       }),
       inboundProxy,
       storeProxy,
@@ -281,6 +285,6 @@
     targetLatencyMs: 400,
     rank: isIdempotent ? 2 : 1,
     maxAttempts: 2,
-    shares: [{service: SERVICE, weight: 1}],
+    shares: [{service: SOAK_SERVICE, weight: 1}],
   };
 }
--- a/testing/soak/src/soak_worker.ts
+++ b/testing/soak/src/soak_worker.ts
@@ -1,6 +1,7 @@
 import type {RandomSource} from '@carobseam/core.types';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import http from 'node:http';
+import type {Socket} from 'node:net';
 import {endRun, type Ledger, type Run} from './ledger.js';
 
 const MIN_WORK_MS = 5;
@@ -10,7 +11,15 @@
 
 /** How a worker spoils its answers. */
 export type WorkerMood =
-  'sound' | 'losing' | 'cutting' | 'doubling' | 'failing';
+  | 'sound'
+  | 'losing'
+  | 'cutting'
+  | 'doubling'
+  | 'failing'
+  | 'repeating'
+  | 'repeatingUnnamed'
+  | 'closingInHead'
+  | 'resettingInHead';
 
 /** A request that reached a worker after its VM had been told of a statement. */
 export interface ToldArrival {
@@ -29,6 +38,8 @@
   slots: number;
   random: RandomSource;
   ledger: Ledger;
+  /** Hears of each request that is meant for this worker. */
+  onArrival: (requestId: string) => void;
 }
 
 /** A worker whose runs are counted and whose answers can be checked. */
@@ -40,6 +51,8 @@
   isDraining = false;
   /** Arrivals since the worker began to state something. */
   toldArrivals: ToldArrival[] = [];
+  /** Refusals that are still to be repeated on their connections. */
+  readonly #repeats = new WeakMap<Socket, string>();
   readonly #told = new Map<number, number>();
   #statement: http.OutgoingHttpHeaders = {};
   readonly #options: SoakWorkerOptions;
@@ -137,24 +150,55 @@
       response.setHeader(name, value!);
     }
     this.#recordArrival(id, response);
-    if (this.#running >= this.#options.slots) {
+    this.#options.onArrival(id);
+    if (this.#running >= this.#options.slots || this.#refuses(request, id)) {
       reject(response, 503);
       return;
     }
     this.#running++;
     const {ledger, vmIndex} = this.#options;
     const run = ledger.begin(id, this.id, vmIndex);
+    const hasRepeated = this.#repeatRefusal(request.socket, run);
     response.once('close', () =>
       endRun(run, response.writableFinished ? 'answered' : 'cut'),
     );
     setTimeout(() => {
       this.#running--;
-      if (!run.ending) {
+      if (!run.ending || hasRepeated) {
         this.#answer(id, request.url!, response, run);
       }
     }, this.#workMs());
   }
 
+  /** Whether an unsound worker refuses a request, to repeat that later. */
+  #refuses({socket}: http.IncomingMessage, id: string): boolean {
+    const headers = repeatedHeaders[this.mood]?.(id);
+    const refuses =
+      headers !== undefined &&
+      !this.#repeats.has(socket) &&
+      this.#options.random.nextFloat() < SPOILED_SHARE;
+    if (refuses) {
+      this.#repeats.set(socket, repeatedRefusal(headers));
+    }
+    return refuses;
+  }
+
+  /**
+   * Sends the refusal of an earlier request where the answer of a run is due.
+   *
+   * @return whether it has, before the answer that follows.
+   */
+  #repeatRefusal(socket: Socket, run: Run): boolean {
+    const refusal = this.#repeats.get(socket);
+    if (refusal === undefined) {
+      return false;
+    }
+    this.#repeats.delete(socket);
+    endRun(run, 'spoiled');
+    socket.write(refusal);
+    return true;
+  }
+
   #workMs(): number {
     const {random} = this.#options;
     const isLong = random.nextFloat() < LONG_WORK_SHARE;
@@ -188,6 +232,17 @@
         const {socket} = response;
         response.end(body, () => socket?.write(extraAnswer(id)));
       },
+      repeating: () => response.end(body),
+      repeatingUnnamed: () => response.end(body),
+      closingInHead: () => {
+        endRun(run, 'spoiled');
+        response.socket?.write(partOfHead(id), () => response.destroy());
+      },
+      resettingInHead: () => {
+        endRun(run, 'spoiled');
+        const {socket} = response;
+        socket?.write(partOfHead(id), () => socket.resetAndDestroy());
+      },
       failing: () => {
         response.statusCode = 500;
         response.end('failed');
@@ -227,3 +282,25 @@
     'extra',
   ].join('\r\n');
 }
+
+/** Headers that name the request of a repeated refusal. */
+const repeatedHeaders: Partial<
+  Record<WorkerMood, (id: string) => readonly string[]>
+> = {
+  repeating: id => [`${wireHeaders.requestId}: ${id}`],
+  repeatingUnnamed: () => [],
+};
+
+function repeatedRefusal(headers: readonly string[]): string {
+  return [
+    'HTTP/1.1 503 Service Unavailable',
+    `${wireHeaders.notExecuted}: 1`,
+    ...headers,
+    'Content-Length: 0',
+    '\r\n',
+  ].join('\r\n');
+}
+
+function partOfHead(id: string): string {
+  return `HTTP/1.1 200 OK\r\n${wireHeaders.requestId}: ${id}\r\nConte`;
+}
