--- a/daemon/relay/test/odd_entries.test.ts
+++ b/daemon/relay/test/odd_entries.test.ts
@@ -187,7 +187,7 @@
             ...odd.fields,
           };
           const text = odd.text ?? JSON.stringify(entry);
-          store.putEntryText(odd.id ?? 'i-2', text);
+          store.putWorkerBytes(odd.id ?? 'i-2', Buffer.from(text));
           await mesh.followChange();
           const statuses = await mesh.callAll();
           expect(statuses.filter(status => status !== 200)).to.deep.equal([]);
--- a/testing/soak/src/bin.ts
+++ b/testing/soak/src/bin.ts
@@ -1,6 +1,7 @@
 import {Command, InvalidArgumentError} from 'commander';
 import {runSoak} from './run_soak.js';
-import {meshFaults, vmFaults} from './soak_faults.js';
+import {meshFaults} from './mesh_faults.js';
+import {vmFaults} from './soak_faults.js';
 
 const MS_PER_MINUTE = 60_000;
 const MAX_VMS = 250; // each has its own loopback address
@@ -52,7 +53,7 @@
   });
 
 // An exit, unlike the end by a signal, kills the relays.
-for (const signal of ['SIGINT', 'SIGTERM']) {
+for (const signal of ['SIGHUP', 'SIGINT', 'SIGTERM']) {
   process.once(signal, () => process.exit(1));
 }
 await program.parseAsync();
--- a/testing/soak/src/soak_mesh.ts
+++ b/testing/soak/src/soak_mesh.ts
@@ -29,10 +29,11 @@
 const SLOTS = 8;
 const START_GAP_MS = 100; // a hundred relays that start at once exhaust the processor
 const REWRITE_MS = 1500; // after a restore; the users grant about two seconds
-const SERVICE = 'desk' as ServiceName;
 const WIDE_MBPS = 100;
 const THIN_MBPS = 5;
 
+/** Service of all workers. */
+export const SOAK_SERVICE = 'desk' as ServiceName;
 /** Host of the requests that the configuration routes. */
 export const SOAK_HOST = 'hints.example';
 /** Timeout of the routes; callers grant more, in ms. */
@@ -81,6 +82,8 @@
   retryBudget: {retryBudgetRatio: number; retryBudgetSlack: number};
   random: RandomSource;
   ledger: Ledger;
+  /** Hears of each request that reaches the worker of a VM. */
+  onArrival: (requestId: string, vm: SoakVm) => void;
 }
 
 /** Everything that a soak runs: store, workers, proxies, relay processes. */
@@ -94,6 +97,7 @@
   readonly #options: SoakMeshOptions;
   #incarnations = 0;
   #storeAddress = '';
+  #isClosed = false;
 
   constructor(options: SoakMeshOptions) {
     this.#options = options;
@@ -174,7 +178,7 @@
   entryOf(vm: SoakVm): MeshWorker {
     return {
       id: vm.worker.id as WorkerId,
-      service: SERVICE,
+      service: SOAK_SERVICE,
       address: `${publicHost(vm.index)}:${this.#options.basePort}`,
       dataCentre: 'wien' as DataCentreName,
       slots: SLOTS,
@@ -184,7 +188,14 @@
     };
   }
 
+  /**
+   * Starts a VM's relay, unless one is running: of two faults that meet the same
+   * end, each restarts it.
+   */
   startRelay(vm: SoakVm): void {
+    if (this.#isClosed || vm.process?.isRunning) {
+      return;
+    }
     const file = path.join(this.logDir, `relay-${vm.index}.yaml`);
     const logFd = openSync(file.replace('.yaml', '.log'), 'a');
     vm.process = new ProcessHandle({
@@ -197,6 +208,7 @@
   }
 
   async close(): Promise<void> {
+    this.#isClosed = true;
     await Promise.all(this.vms.map(vm => vm.process?.kill()));
     for (const vm of this.vms) {
       vm.inboundProxy.close();
@@ -217,7 +229,7 @@
       vm: `vm-${index}`,
       vmAddress: host,
       dataCentre: 'wien',
-      service: SERVICE,
+      service: SOAK_SERVICE,
       workerAddress: `${shown}:${basePort}`,
       outboundAddress: `${host}:${basePort + 1}`,
       inboundAddress: `${host}:${basePort + 2}`,
@@ -244,6 +256,7 @@
         slots: SLOTS,
         random,
         ledger,
+        onArrival: id => this.#options.onArrival(id, vm),
       }),
       inboundProxy,
       storeProxy,
@@ -272,6 +285,6 @@
     targetLatencyMs: 400,
     rank: isIdempotent ? 2 : 1,
     maxAttempts: 2,
-    shares: [{service: SERVICE, weight: 1}],
+    shares: [{service: SOAK_SERVICE, weight: 1}],
   };
 }
