--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -14,6 +14,7 @@
   type PendingExchange,
 } from './pending_exchange.js';
 import {parseKeepAlive} from './parse_keep_alive.js';
+import {encodeRequestHead} from './request_head.js';
 import {ResponseReader, type ResponseHead} from './response_reader.js';
 
 const MAX_BUFFERED_BYTES = 256 * 1024; // eight times the size of the largest usual body; larger ones are streamed
@@ -118,28 +119,17 @@
       this.#fail('expired');
       return;
     }
-    const headers =
-      typeof request.headers === 'function'
-        ? request.headers()
-        : request.headers;
-    const lines = [`${request.method} ${request.url} HTTP/1.1`];
-    for (let index = 0; index < headers.length; index += 2) {
-      lines.push(`${headers[index]}: ${headers[index + 1]}`);
-    }
+    const head = encodeRequestHead(request);
     current.isWritten = true;
     this.#restartSilenceTimer(current);
     current.lastActiveMs = performance.now();
     if (request.body instanceof Readable) {
-      lines.push('Transfer-Encoding: chunked');
-      this.#socket.write(`${lines.join('\r\n')}\r\n\r\n`, 'latin1');
+      this.#socket.write(head, 'latin1');
       void this.#writeStream(current, request.body);
       return;
     }
-    if (request.body.length > 0 || hasBodyByDefault(request.method)) {
-      lines.push(`Content-Length: ${request.body.length}`);
-    }
     this.#socket.cork();
-    this.#socket.write(`${lines.join('\r\n')}\r\n\r\n`, 'latin1');
+    this.#socket.write(head, 'latin1');
     if (request.body.length > 0) {
       this.#socket.write(request.body);
     }
@@ -428,7 +418,3 @@
     });
   }
 }
-
-function hasBodyByDefault(method: string): boolean {
-  return method === 'POST' || method === 'PUT' || method === 'PATCH';
-}
--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -1,8 +1,5 @@
 import {
   ConnectionPool,
-  discardResponse,
-  headerValue,
-  headerValues,
   type Exchange,
   type ExchangeResponse,
   type ExchangeResult,
@@ -21,6 +18,7 @@
 import {wireHeaders} from '@carobseam/platform.adapter';
 import {Readable} from 'node:stream';
 import type {HopVerdict} from './hop_message.js';
+import {toGateResult} from './judge_response.js';
 import {
   decodeWorkerStatement,
   WorkerStatements,
@@ -395,45 +393,3 @@
 
 // Ends of an exchange that say nothing about the worker.
 const OWN_ENDS = new Set<FailureReason>(['cancelled', 'expired']);
-
-// Callers retry after these statuses, even a request that is not idempotent.
-const RETRIED_STATUSES = new Set([408, 429, 503]);
-const MIN_REFUSAL_STATUS = 400; // a success or a redirect contradicts the statement that the request was not run
-
-function toGateResult(result: ExchangeResult): GateResult {
-  if (result.kind !== 'response') {
-    return {verdict: result.kind, reason: result.reason, retryAfterMs: 0};
-  }
-  const [verdict, reason] = judgeResponse(result);
-  if (verdict !== 'answered') {
-    discardResponse(result);
-    return {verdict, reason, retryAfterMs: 0};
-  }
-  return {verdict, reason, retryAfterMs: 0, response: result};
-}
-
-function judgeResponse({
-  status,
-  headers,
-}: ExchangeResponse): [verdict: HopVerdict, reason: string] {
-  const statesNotExecuted =
-    headerValue(headers, wireHeaders.notExecuted) !== undefined;
-  if (statesNotExecuted && status < MIN_REFUSAL_STATUS) {
-    return ['unknown', 'unprovenRefusal'];
-  }
-  const isRejected = statesNotExecuted || status === 421;
-  if (isRejected) {
-    return ['rejected', String(status)];
-  }
-  if (headerValues(headers, wireHeaders.workerSignature).size !== 1) {
-    // An unsigned response may come from something other than the worker; with
-    // two signatures, the heads of two responses have merged.
-    return ['unknown', 'unsealed'];
-  }
-  if (RETRIED_STATUSES.has(status)) {
-    // Callers would conclude that the request did not run, but the worker has
-    // not stated this.
-    return ['unknown', 'unprovenRefusal'];
-  }
-  return ['answered', String(status)];
-}
