fix(relay): let only requests that were read late wait, and for one poll

The first form of the intake worked in slices of 2 ms and refused what would wait too long. The review showed faults of it by tests: an idle relay refused requests of callers that cannot retry, one pause made the estimate refuse for good, hops that waited sent no interim responses, and an idle moment before a long turn was taken for punctual reading.

Now a request waits for one more poll only if events were already waiting when the event loop polled, which Node.js counts (uvMetricsInfo, from 20.18 on), and nothing is refused by an estimate. Order after the poll: requests whose senders have left, requests that have expired, hops and calls of workers, then by rank.

ReadDelayProbe takes a connection for waiting only if the turn before accepted one too, and places it between the last probe that was accepted and the one that waits; an estimate belongs to a connection, not to the process.

--- a/calls/relay/src/attempt_result.ts
+++ b/calls/relay/src/attempt_result.ts
@@ -30,12 +30,8 @@
   return {outcome: kind, reason, waitMs: 0, details};
 }
 
-/** Reasons of workers that are full, or whose relay is. */
-export const FULL_REASONS = new Set([
-  'wouldBeLate',
-  'wouldExpire',
-  'relayBusy',
-]);
+/** Reasons of workers that are full. */
+export const FULL_REASONS = new Set(['wouldBeLate', 'wouldExpire']);
 /** Reasons which show that a worker is not at its address any more. */
 export const STALE_ADDRESS_REASONS = new Set(['421', 'workerGone']); // 421: another worker uses the address
 
--- a/calls/relay/src/caller_deadline_tracker.ts
+++ b/calls/relay/src/caller_deadline_tracker.ts
@@ -19,6 +19,8 @@
   isCallerRetry: boolean;
   /** Whether the caller has no time for another retry. */
   isLastCallerAttempt: boolean;
+  /** Whether callers of the route retry at all. */
+  canCallerRetry: boolean;
 }
 
 const MIN_RETRY_ELAPSED_MS = 5; // callers round the deadlines that they send
@@ -50,13 +52,19 @@
     const totalDeadlineMs = this.#updateTotalDeadline(route.name, deadlineMs);
     if (totalDeadlineMs <= route.timeoutMs * MIN_RETRY_DEADLINE_RATIO) {
       const dueInMs = Math.min(deadlineMs, route.timeoutMs);
-      return {dueInMs, isCallerRetry: false, isLastCallerAttempt: true};
+      return {
+        dueInMs,
+        isCallerRetry: false,
+        isLastCallerAttempt: true,
+        canCallerRetry: false,
+      };
     }
     const elapsedMs = totalDeadlineMs - deadlineMs;
     return {
       dueInMs: route.targetLatencyMs - elapsedMs,
       isCallerRetry: elapsedMs > MIN_RETRY_ELAPSED_MS,
       isLastCallerAttempt: elapsedMs >= totalDeadlineMs * LAST_ATTEMPT_SHARE,
+      canCallerRetry: true,
     };
   }
 
--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -18,8 +18,9 @@
 import {gateTimes, roundMs} from './log_times.js';
 import {BodyTooLargeError, readBody} from './read_body.js';
 import type {RelayContext} from './relay_context.js';
+import {FIRST_INTAKE_CLASS} from './request_intake.js';
 import {sendResponse} from './send_response.js';
-import {hasSenderLeft} from './sender_presence.js';
+import {hasSenderLeft, onceClosed} from './sender_presence.js';
 import type {GateResult, GateTicket} from './worker_gate.js';
 
 const FIRST_INTERIM_MS = 150; // most responses arrive sooner
@@ -79,7 +80,7 @@
   handle(request: IncomingMessage, response: ServerResponse): void {
     this.#activeCount++;
     response.sendDate = false;
-    response.once('close', () => this.#activeCount--);
+    onceClosed(request, response, () => this.#activeCount--);
     this.#serve(request, response).catch(error => {
       const isTooLarge = error instanceof BodyTooLargeError;
       this.#options.log.gateDecision('bodyFailed', {
@@ -123,17 +124,17 @@
       return;
     }
     await this.#options.intake.submit({
-      rank: hop.rank,
-      isHop: true,
-      latestStartMs: scheduling.expiresAtMs,
+      priorityClass: FIRST_INTAKE_CLASS,
       expiresAtMs: scheduling.expiresAtMs,
       hasLeft: () => hasSenderLeft(request),
       run: () =>
         this.#submit(request, response, {hop, scheduling, body, arrivedMs}),
-      refuse: (reason, retryAfterMs) => {
-        const result = {verdict: 'notSent', reason, retryAfterMs} as const;
-        this.#respond(request, response, result);
-      },
+      refuse: () =>
+        this.#respond(request, response, {
+          verdict: 'notSent',
+          reason: 'expired',
+          retryAfterMs: 0,
+        }),
       drop: () => this.#drop(request, response, arrivedMs),
     });
   }
@@ -157,8 +158,9 @@
       headers,
       body,
       requestId: requestIdOf(request),
+      hasSenderLeft: () => hasSenderLeft(request),
     });
-    const progress = this.#sendInterimResponses(response, ticket);
+    const progress = this.#sendInterimResponses(request, response, ticket);
     const result = await ticket.result;
     if (response.destroyed) {
       const leftMs = progress.closedMs ?? clock.monotonicMs();
@@ -179,6 +181,7 @@
    * sending relay does not take the hop for silent.
    */
   #sendInterimResponses(
+    request: IncomingMessage,
     response: ServerResponse,
     ticket: GateTicket,
   ): HopProgress {
@@ -192,7 +195,7 @@
       }
     };
     let timer = clock.setTimer(FIRST_INTERIM_MS, sendInterim);
-    response.once('close', () => {
+    onceClosed(request, response, () => {
       timer.cancel();
       progress.closedMs = clock.monotonicMs();
       if (!response.writableFinished) {
@@ -218,7 +221,7 @@
         leftAfterMs: roundMs(clock.monotonicMs() - arrivedMs),
       },
     );
-    response.destroy();
+    request.destroy();
   }
 
   #recordDecision(
--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -1,19 +1,25 @@
 import {discardResponse} from '@carobseam/calls.exchange';
+import {LATE_CLASS, priorityClassOf} from '@carobseam/calls.worker_queue';
 import {pickService, type MeshRoute} from '@carobseam/config.mesh';
 import type {LogFields} from '@carobseam/core.logger';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {Readable} from 'node:stream';
-import type {DispatchedRequest, DispatchResult} from './dispatched_request.js';
+import type {DispatchResult} from './dispatched_request.js';
+import {
+  isStreamed,
+  RESPONDERS,
+  type RequestTimes,
+} from './caller_responders.js';
 import {forwardedHeaders} from './forwarded_headers.js';
 import {hopHeaders} from './hop_message.js';
 import {roundMs} from './log_times.js';
 import {BodyTooLargeError, readBody} from './read_body.js';
 import type {RelayContext} from './relay_context.js';
+import {FIRST_INTAKE_CLASS} from './request_intake.js';
 import {expectedServiceMs, RequestDispatcher} from './request_dispatcher.js';
-import {computeRetryAfterMs} from './retry_after.js';
-import {breakOff, sendResponse} from './send_response.js';
-import {hasSenderLeft} from './sender_presence.js';
+import {retryAfterHeader} from './retry_after.js';
+import {breakOff} from './send_response.js';
+import {hasSenderLeft, onceClosed} from './sender_presence.js';
 
 const NO_CONFIG_RETRY_MS = 200; // a relay reads its configuration within this time after its start
 const DRAINING_RETRY_MS = 50; // another relay of the data centre can serve the retry at once
@@ -54,14 +60,13 @@
    * about to exit.
    */
   abortAll(): void {
-    this.#context.intake.refuseAll();
     this.#abortCallbacks.forEach(abort => abort());
   }
 
   handle(request: IncomingMessage, response: ServerResponse): void {
     this.#activeCount++;
     response.sendDate = false;
-    response.once('close', () => this.#activeCount--);
+    onceClosed(request, response, () => this.#activeCount--);
     const readDelayMs = this.#context.readDelayOf(request);
     this.#readDelays.set(request, readDelayMs);
     const arrivedMs = this.#context.clock.monotonicMs() - readDelayMs;
@@ -123,43 +128,56 @@
         url: request.url!,
         headers: this.#forwardedHeadersOf(request),
         body,
+        hasCallerLeft: () => hasSenderLeft(request),
       });
       return this.#dispatch(request, response, dispatcher, times);
     };
     await this.#takeIn(request, response, times, run);
   }
 
-  /** Does the work on a request once its turn has come, or turns it away. */
+  /** Does the work on a request in its turn, or turns it away. */
   #takeIn(
     request: IncomingMessage,
     response: ServerResponse,
     times: RequestTimes & {route: MeshRoute; arrivedMs: number},
     run: () => Promise<void>,
   ): Promise<void> {
-    const {route, arrivedMs, dueAtMs, expiresAtMs} = times;
-    const serviceMs = expectedServiceMs(route);
+    const {route, arrivedMs, expiresAtMs} = times;
     return this.#context.intake.submit({
-      rank: route.rank,
-      isHop: false,
-      latestStartMs: dueAtMs - serviceMs,
+      priorityClass: this.#intakeClassOf(route, times),
       expiresAtMs,
       hasLeft: () => hasSenderLeft(request),
       run,
-      refuse: (reason, waitMs) =>
+      refuse: () =>
         this.#respond(request, response, times, {
           kind: 'refused',
-          reason,
-          waitMs,
-          serviceMs,
+          reason: 'expired',
+          waitMs: Infinity,
+          serviceMs: expectedServiceMs(route),
         }),
       drop: () => {
         const fields = {route: route.name};
         this.#recordEnd(request, arrivedMs, 'callerLeft', fields);
-        response.destroy();
+        request.destroy();
       },
     });
   }
 
+  #intakeClassOf(
+    route: MeshRoute,
+    {dueAtMs, canCallerRetry}: RequestTimes,
+  ): number {
+    if (!canCallerRetry) {
+      // For example a worker that calls another service in the course of a request.
+      return FIRST_INTAKE_CLASS;
+    }
+    const latestStartMs = dueAtMs - expectedServiceMs(route);
+    const isLate = this.#context.clock.monotonicMs() > latestStartMs;
+    return (
+      FIRST_INTAKE_CLASS + 1 + (isLate ? LATE_CLASS : priorityClassOf(route))
+    );
+  }
+
   /**
    * Dispatches a request and responds, unless it times out or its caller
    * disconnects first.
@@ -192,7 +210,7 @@
       // After a delay of the event loop, timers run before received data is read.
       () => setImmediate(abort, 'timeout'),
     );
-    response.once('close', () => {
+    onceClosed(request, response, () => {
       this.#abortCallbacks.delete(abortOnShutdown);
       timeoutTimer.cancel();
       if (!response.writableFinished) {
@@ -225,7 +243,8 @@
     RESPONDERS[result.kind](result as never, {
       response,
       times,
-      context: this.#context,
+      clock: this.#context.clock,
+      random: this.#context.random,
       refuse: (status, headers) => this.#refuse(response, status, headers),
       extraHeaders: this.#connectionHeaders(),
       recordEnd: (outcome, fields) =>
@@ -269,6 +288,7 @@
       dueAtMs: arrivedMs + callerDeadline.dueInMs,
       isLastCallerAttempt: callerDeadline.isLastCallerAttempt,
       isCallerRetry: callerDeadline.isCallerRetry,
+      canCallerRetry: callerDeadline.canCallerRetry,
       // A request that is still in progress when this relay exits is aborted.
       expiresAtMs: Math.min(
         arrivedMs + Math.min(deadlineMs, route.timeoutMs),
@@ -337,72 +357,6 @@
   }
 }
 
-interface RequestTimes extends Pick<
-  DispatchedRequest,
-  'dueAtMs' | 'expiresAtMs' | 'isLastCallerAttempt'
-> {
-  isCallerRetry: boolean;
-  /** When the caller's deadline ends, on the monotonic clock, in ms. */
-  callerDeadlineMs: number;
-}
-
-interface RespondOptions {
-  response: ServerResponse;
-  times: RequestTimes;
-  context: RelayContext;
-  refuse: (status: number, headers: readonly string[]) => void;
-  extraHeaders: readonly string[];
-  recordEnd: (outcome: string, fields: LogFields) => void;
-}
-
-type ResultOfKind<Kind extends DispatchResult['kind']> = Extract<
-  DispatchResult,
-  {kind: Kind}
->;
-
-const RESPONDERS: {
-  [Kind in DispatchResult['kind']]: (
-    result: ResultOfKind<Kind>,
-    options: RespondOptions,
-  ) => void;
-} = {
-  response: (result, options) => {
-    const {status} = result.response;
-    options.recordEnd('answered', {status, attempts: result.attempts});
-    sendResponse(options.response, result.response, options.extraHeaders);
-  },
-  refused: (result, options) => {
-    const nowMs = options.context.clock.monotonicMs();
-    const afterMs = computeRetryAfterMs({
-      dueInMs: options.times.dueAtMs - nowMs,
-      isCallerRetry: options.times.isCallerRetry,
-      callerRemainingMs: options.times.callerDeadlineMs - nowMs,
-      waitMs: result.waitMs,
-      serviceMs: result.serviceMs,
-      random: options.context.random,
-    });
-    options.recordEnd('refused', {
-      reason: result.reason,
-      retryAfterMs: Math.round(afterMs),
-    });
-    options.refuse(503, retryAfterHeader(afterMs));
-  },
-  unknown: (result, options) => {
-    options.recordEnd('unknown', {reason: result.reason});
-    options.refuse(502, []);
-  },
-};
-
-function isStreamed(result: DispatchResult): boolean {
-  return result.kind === 'response' && result.response.body instanceof Readable;
-}
-
-const MS_PER_S = 1000;
-
-function retryAfterHeader(afterMs: number): string[] {
-  return ['Retry-After', (afterMs / MS_PER_S).toFixed(3)];
-}
-
 function headerOf(request: IncomingMessage, name: string): string | undefined {
   return request.headers[name] as string | undefined;
 }
--- a/calls/relay/src/read_delay_probe.ts
+++ b/calls/relay/src/read_delay_probe.ts
@@ -2,11 +2,12 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import net, {type Socket} from 'node:net';
-import {performance} from 'node:perf_hooks';
+import {currentEventLoopTurn, type EventLoopTurn} from './event_loop_turn.js';
 
 const PROBE_HEADER = 'x-cs-probe';
-const PROBE_INTERVAL_MS = 50; // an estimate is never older than the delay itself and this time
-const MAX_PROBE_MS = 5000; // longer than any caller waits
+const PROBE_INTERVAL_MS = 100; // a fifth of the shortest target latency of callers
+const MAX_READ_TURNS = 2; // from the acceptance of a connection until its first request is read
+const MAX_PROBE_MS = 5000; // longer than callers wait
 
 /** Options of `ReadDelayProbe`. */
 export interface ReadDelayProbeOptions {
@@ -16,8 +17,14 @@
   port: number;
   /** Called with each measured delay, in ms. */
   onDelay?: (delayMs: number) => void;
-  /** Total time for which the event loop was idle, in ms. */
-  idleMs?: () => number;
+  eventLoopTurn?: () => EventLoopTurn;
+}
+
+interface AcceptedConnection {
+  /** Estimated time at which it was opened, on the monotonic clock, in ms. */
+  openedMs: number;
+  /** Turn of the event loop in which it was accepted. */
+  turn: number;
 }
 
 /**
@@ -25,39 +32,45 @@
  * request is read. The event loop accepts one connection in each turn, so
  * connections may wait long although no turn is. Connections are accepted in the
  * order in which they were opened, so a connection of the process to itself
- * waits as long as those of callers.
+ * shows when those before and after it were opened.
  */
 export class ReadDelayProbe {
   readonly #options: ReadDelayProbeOptions;
   readonly #id = randomUUID();
-  readonly #idleMs: () => number;
-  readonly #unread = new WeakSet<Socket>();
+  readonly #eventLoopTurn: () => EventLoopTurn;
+  readonly #unread = new WeakMap<Socket, AcceptedConnection>();
+  #lastTurn = -Infinity;
   #socket?: Socket;
-  #isWaiting = false;
+  /** When the last probe started, on the monotonic clock, in ms. */
   #startMs = -Infinity;
-  #lastIdleMs = -Infinity;
-  #delayMs = 0;
+  #isWaiting = false;
+  /** All connections that were opened before were accepted, on the same clock. */
+  #acceptedUntilMs = -Infinity;
 
   constructor(options: ReadDelayProbeOptions) {
     this.#options = options;
-    this.#idleMs = options.idleMs ?? (() => performance.nodeTiming.idleTime);
+    this.#eventLoopTurn = options.eventLoopTurn ?? currentEventLoopTurn;
   }
 
   /**
-   * Records an accepted connection, and starts a probe if the event loop has had
-   * no idle time since the one before.
+   * Records an accepted connection, and starts a probe if the turn before has
+   * accepted one too, so that others may be waiting.
    */
   connectionAccepted(socket: Socket): void {
-    this.#unread.add(socket);
-    const idleMs = this.#idleMs();
-    const wasIdle = idleMs > this.#lastIdleMs;
-    this.#lastIdleMs = idleMs;
-    if (wasIdle) {
-      // Nothing was waiting to be read then.
-      this.#delayMs = 0;
+    const {turn = NaN} = this.#eventLoopTurn();
+    const isNext = turn === this.#lastTurn + 1;
+    this.#lastTurn = turn;
+    const nowMs = this.#options.clock.monotonicMs();
+    if (!isNext) {
+      this.#acceptedUntilMs = nowMs;
+    }
+    // A connection that is accepted now was opened before a probe that waits.
+    const openedUntilMs = this.#isWaiting ? this.#startMs : nowMs;
+    const openedMs = (this.#acceptedUntilMs + openedUntilMs) / 2;
+    this.#unread.set(socket, {openedMs: Math.min(nowMs, openedMs), turn});
+    if (!isNext) {
       return;
     }
-    const nowMs = this.#options.clock.monotonicMs();
     if (!this.#socket && nowMs - this.#startMs >= PROBE_INTERVAL_MS) {
       this.#start(nowMs);
     }
@@ -68,16 +81,17 @@
    * first request on a connection waits until the connection is accepted.
    */
   delayOf({socket}: IncomingMessage): number {
-    return this.#unread.delete(socket) ? this.delayMs : 0;
-  }
-
-  /** Current estimate for new connections, in ms. */
-  get delayMs(): number {
-    // Connections that are accepted before that of the probe are older than it.
-    const probeAgeMs = this.#isWaiting
-      ? this.#options.clock.monotonicMs() - this.#startMs
+    const connection = this.#unread.get(socket);
+    if (!connection) {
+      return 0;
+    }
+    this.#unread.delete(socket);
+    const {turn = NaN} = this.#eventLoopTurn();
+    // A request that is read later was not there yet when the connection was accepted.
+    const hasWaited = turn <= connection.turn + MAX_READ_TURNS;
+    return hasWaited
+      ? this.#options.clock.monotonicMs() - connection.openedMs
       : 0;
-    return Math.max(this.#delayMs, probeAgeMs);
   }
 
   /** Responds to a request of the probe itself; false for any other request. */
@@ -85,9 +99,9 @@
     if (request.headers[PROBE_HEADER] !== this.#id) {
       return false;
     }
-    this.#delayMs = this.#options.clock.monotonicMs() - this.#startMs;
     this.#isWaiting = false;
-    this.#options.onDelay?.(this.#delayMs);
+    this.#acceptedUntilMs = Math.max(this.#acceptedUntilMs, this.#startMs);
+    this.#options.onDelay?.(this.#options.clock.monotonicMs() - this.#startMs);
     response.sendDate = false;
     response.writeHead(204, ['Connection', 'close']);
     response.end();
--- a/calls/relay/src/retry_after.ts
+++ b/calls/relay/src/retry_after.ts
@@ -40,3 +40,10 @@
   }
   return Math.max(MIN_RETRY_AFTER_MS, latestMs * jitter);
 }
+
+const MS_PER_S = 1000;
+
+/** Returns the Retry-After header, as name and value. */
+export function retryAfterHeader(afterMs: number): string[] {
+  return ['Retry-After', (afterMs / MS_PER_S).toFixed(3)];
+}
--- a/calls/relay/test/caller_deadline_tracker.test.ts
+++ b/calls/relay/test/caller_deadline_tracker.test.ts
@@ -12,6 +12,7 @@
       dueInMs: 500,
       isCallerRetry: false,
       isLastCallerAttempt: false,
+      canCallerRetry: true,
     });
     expect(tracker.estimate(ROUTE, 2700)).to.deep.include({
       dueInMs: 200,
@@ -27,6 +28,7 @@
       dueInMs: 500,
       isCallerRetry: false,
       isLastCallerAttempt: true,
+      canCallerRetry: false,
     });
     expect(tracker.estimate(route, 300).dueInMs).to.equal(300);
   });
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -246,9 +246,6 @@
     this.#outboundServer.on('connection', socket =>
       this.#readDelayProbe.connectionAccepted(socket),
     );
-    for (const server of [inbound, this.#outboundServer]) {
-      server.on('connection', () => this.#intake.connectionAccepted());
-    }
     this.#outboundServer.keepAliveTimeout = DEFAULT_KEEP_ALIVE_TIMEOUT_MS;
     this.#servers.push(inbound, this.#outboundServer);
     this.#scheduleHousekeeping();
