fix(relay): ask whether the sender is still there wherever a request is passed on

Requests of callers that had left were hedged, retried and started at the gate.

Cause: only the event 'close' of the response ended a request. Node.js emits it two turns after the end of the connection is read, and never for a pipelined request whose response is not attached to the connection yet; such a request also stayed counted as active, so a drain waited for it.

A request is now withdrawn at the last moment if its time is over or its sender has left: before a connection is taken and before the request is written, at the gate and on hops alike, so that hedges and retries are covered too.

--- a/calls/exchange/src/connection_pool.ts
+++ b/calls/exchange/src/connection_pool.ts
@@ -21,6 +21,7 @@
   receivedBytes: 0,
   receivedInterims: 0,
 };
+const WITHDRAWN: ExchangeFailure = {...NOT_CONNECTED, reason: 'withdrawn'};
 
 /** Options of `ConnectionPool`. */
 export interface ConnectionPoolOptions {
@@ -70,6 +71,9 @@
 
   /** Sends one request over an idle or a new connection. */
   exchange(request: ExchangeRequest): Exchange {
+    if (request.isWithdrawn?.()) {
+      return {result: Promise.resolve(WITHDRAWN), cancel: () => {}};
+    }
     const idle = request.needsNewConnection ? undefined : this.#takeIdle();
     const idleMs = idle && this.#options.clock.monotonicMs() - idle.idleSinceMs;
     const connection = idle?.connection ?? this.#connect();
--- a/calls/exchange/src/exchange_types.ts
+++ b/calls/exchange/src/exchange_types.ts
@@ -9,8 +9,11 @@
    * function is called when the request is written.
    */
   headers: readonly string[] | (() => readonly string[]);
-  /** Whether it is too late to write the request; by default it never is. */
-  isExpired?: () => boolean;
+  /**
+   * Whether the request is of no use any more, because its time is over or its
+   * sender has left; it is then not written.
+   */
+  isWithdrawn?: () => boolean;
   body: Buffer | Readable;
   /**
    * Request id; a response that echoes another id belongs to an earlier
@@ -82,8 +85,8 @@
   | 'no_response_head'
   | 'silent'
   | 'cancelled'
-  /** The request expired before the connection was open. */
-  | 'expired'
+  /** The request was of no use any more before it was written. */
+  | 'withdrawn'
   | 'body_failed';
 
 /** Result of an exchange. */
--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -115,8 +115,8 @@
 
   #write(current: PendingExchange): void {
     const {request} = current;
-    if (request.isExpired?.()) {
-      this.#fail('expired');
+    if (request.isWithdrawn?.()) {
+      this.#fail('withdrawn');
       return;
     }
     const head = encodeRequestHead(request);
--- a/calls/exchange/test/connection_pool.test.ts
+++ b/calls/exchange/test/connection_pool.test.ts
@@ -84,13 +84,16 @@
 }
 
 describe('ConnectionPool', () => {
-  it('guards against writing a request that expired while its connection was opened', async () => {
+  it('guards against writing a request that was withdrawn while its connection was opened', async () => {
     let received = 0;
     await withWorker(
       () => received++,
       async send => {
-        const result = await send('id-1', {isExpired: () => true});
-        expect(result).to.equal('notSent: expired');
+        let checks = 0;
+        for (const isWithdrawn of [() => true, () => ++checks > 1]) {
+          const result = await send('id-1', {isWithdrawn});
+          expect(result).to.equal('notSent: withdrawn');
+        }
       },
     );
     expect(received).to.equal(0);
--- a/calls/relay/src/attempt.ts
+++ b/calls/relay/src/attempt.ts
@@ -59,7 +59,7 @@
   }
 
   send(): Promise<AttemptResult> {
-    const {context, request} = this.#options;
+    const {context} = this.#options;
     return this.worker.address === context.workerAddress
       ? this.#sendToLocalWorker()
       : this.#sendToPeer();
@@ -78,6 +78,7 @@
       headers: [...request.headers, wireHeaders.expectedWorker, id],
       body: request.body,
       requestId: request.id,
+      hasSenderLeft: request.hasCallerLeft,
     });
     this.#cancel = () => ticket.cancel();
     const result = await ticket.result;
@@ -119,7 +120,9 @@
       method: request.method,
       url: request.url,
       headers: () => [...request.headers, ...this.#hopHeaders()],
-      isExpired: () => context.clock.monotonicMs() >= request.expiresAtMs,
+      isWithdrawn: () =>
+        request.hasCallerLeft?.() === true ||
+        context.clock.monotonicMs() >= request.expiresAtMs,
       body: request.body,
       requestId: request.id,
       silenceWatch: {
@@ -131,7 +134,7 @@
     this.#cancel = () => exchange.cancel();
     const result = await exchange.result;
     if (result.kind !== 'response') {
-      if (result.reason !== 'cancelled' && result.reason !== 'expired') {
+      if (result.reason !== 'cancelled' && result.reason !== 'withdrawn') {
         peerHealth.markDown(vmAddress);
       }
       return failureToAttemptResult(result);
--- a/calls/relay/src/dispatched_request.ts
+++ b/calls/relay/src/dispatched_request.ts
@@ -12,6 +12,8 @@
   url: string;
   headers: string[];
   body: Buffer | Readable;
+  /** Whether the caller has closed its connection; by default it has not. */
+  hasCallerLeft?: () => boolean;
   /** Whether the caller has no time for a retry after a refusal. */
   isLastCallerAttempt: boolean;
   /**
--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -45,6 +45,8 @@
   headers: string[];
   body: Buffer | Readable;
   requestId?: string;
+  /** Whether the sender has closed its connection; by default it has not. */
+  hasSenderLeft?: () => boolean;
 }
 
 /** Outcome of a request at the gate. */
@@ -291,7 +293,8 @@
       method: request.method,
       url: request.url,
       // Opening a connection may take a part of the time that is left.
-      isExpired: () => remainingMs() <= 0,
+      isWithdrawn: () =>
+        request.hasSenderLeft?.() === true || remainingMs() <= 0,
       headers: () => [
         ...request.headers,
         wireHeaders.deadlineMs,
@@ -392,4 +395,4 @@
 }
 
 // Ends of an exchange that say nothing about the worker.
-const OWN_ENDS = new Set<FailureReason>(['cancelled', 'expired']);
+const OWN_ENDS = new Set<FailureReason>(['cancelled', 'withdrawn']);
