test(relay): block the relay until all callers have written their requests

The bench of the test now holds the server until all 200 requests are written, and counts waits from then. The bounds are unchanged.

--- a/calls/relay/test/read_delay_probe.test.ts
+++ b/calls/relay/test/read_delay_probe.test.ts
@@ -52,7 +52,11 @@
   return {probe, port, delaysMs, read, close};
 }
 
-const callersOf = ({port}: ProbedServer, count: number) =>
+const callersOf = (
+  {port}: ProbedServer,
+  count: number,
+  writtenCount?: Int32Array,
+) =>
   runLeavingCallers({
     host: HOST,
     port,
@@ -60,16 +64,33 @@
     head: 'GET / HTTP/1.1\r\nHost: a.example\r\n',
     requestIdHeader: 'x-id',
     leaveAfterMs: 5000,
+    writtenCount,
   });
 
+/** Blocks this thread until the callers have written their requests. */
+function waitUntilWritten(writtenCount: Int32Array, count: number): void {
+  for (;;) {
+    const written = Atomics.load(writtenCount, 0);
+    if (written >= count) {
+      return;
+    }
+    Atomics.wait(writtenCount, 0, written);
+  }
+}
+
 describe('ReadDelayProbe', () => {
   it('guards against missing the wait of connections that are accepted one by one', async () => {
     const server = await startProbedServer(4);
-    const reports = await callersOf(server, 200);
+    const writtenCount = new Int32Array(new SharedArrayBuffer(4));
+    const called = callersOf(server, 200, writtenCount);
+    waitUntilWritten(writtenCount, 200);
+    const readableMs = epochMs();
+    const reports = await called;
     server.close();
-    const late = reports.flatMap(({id, sentAtMs}) => {
+    const late = reports.flatMap(({id}) => {
       const {delayMs, atMs} = server.read.get(id)!;
-      return atMs - sentAtMs > 400 ? [{delayMs, waitMs: atMs - sentAtMs}] : [];
+      const waitMs = atMs - readableMs;
+      return waitMs > 400 ? [{delayMs, waitMs}] : [];
     });
     expect(late.length).to.be.greaterThan(20);
     for (const {delayMs, waitMs} of late) {
