refactor(relay): one limit of the time left, and only the times in the queue of the gate

MIN_REMAINING_MS stood three times with the same value and reason; the queue of the worker now exports it. A request for the local worker put its whole data into the entry of the gate's queue, where only rank and times are used. Behaviour is unchanged.

--- a/calls/placement/src/decide_next_step.ts
+++ b/calls/placement/src/decide_next_step.ts
@@ -1,3 +1,5 @@
+import {MIN_REMAINING_MS} from '@carobseam/calls.worker_queue';
+
 /** Outcome of one attempt to send a request to a worker. */
 export type AttemptOutcome =
   /** The worker responded with a status below 500. */
@@ -53,7 +55,6 @@
   | 'budget';
 
 const MAX_UNSENT_ATTEMPTS = 3; // after three refusals the whole service is probably full
-const MIN_REMAINING_MS = 30; // no worker responds in less
 
 /**
  * Decides whether to deliver, retry, refuse or report an unknown outcome after
--- a/calls/relay/src/attempt.ts
+++ b/calls/relay/src/attempt.ts
@@ -72,7 +72,12 @@
     const ticket = workerGate.submit({
       worker: id,
       isIdempotent: request.route.isIdempotent,
-      scheduling: {...request, rank: request.route.rank},
+      scheduling: {
+        rank: request.route.rank,
+        isLastCallerAttempt: request.isLastCallerAttempt,
+        dueAtMs: request.dueAtMs,
+        expiresAtMs: request.expiresAtMs,
+      },
       method: request.method,
       url: request.url,
       headers: [...request.headers, wireHeaders.expectedWorker, id],
--- a/calls/relay/src/request_intake.ts
+++ b/calls/relay/src/request_intake.ts
@@ -1,8 +1,7 @@
+import {MIN_REMAINING_MS} from '@carobseam/calls.worker_queue';
 import type {Clock} from '@carobseam/core.types';
 import {currentEventLoopTurn, type EventLoopTurn} from './event_loop_turn.js';
 
-const MIN_REMAINING_MS = 30; // no worker responds in less
-
 /** Class of requests on which another relay or a worker has already spent work. */
 export const FIRST_INTAKE_CLASS = 0;
 
--- a/calls/worker_queue/src/queued_request.ts
+++ b/calls/worker_queue/src/queued_request.ts
@@ -16,6 +16,9 @@
   expiresAtMs: number;
 }
 
+/** Time in which no worker responds, in ms; with less left, a request is lost. */
+export const MIN_REMAINING_MS = 30;
+
 const MAX_DISTINCT_RANK = 3; // requests of lower priority share a class and are ordered by due time only
 
 /**
--- a/calls/worker_queue/src/worker_queue.ts
+++ b/calls/worker_queue/src/worker_queue.ts
@@ -1,6 +1,7 @@
 import type {Clock, Timer} from '@carobseam/core.types';
 import {
   LATE_CLASS,
+  MIN_REMAINING_MS,
   PRIORITY_CLASS_COUNT,
   priorityClassOf,
   type QueuedRequest,
@@ -12,7 +13,6 @@
 const SERVICE_MARGIN = 1.25; // work times vary by a third of their mean, and the response takes time to travel
 const LATE_QUEUE_PER_SLOT = 0.25; // callers that can retry find a shorter queue later
 const LAST_ATTEMPT_QUEUE_PER_SLOT = 0.5; // more would expire in the queue
-const MIN_REMAINING_MS = 30; // no worker responds in less
 
 /** Why a request is refused. */
 export type QueueRefusalReason = 'wouldBeLate' | 'wouldExpire' | 'leaving';
