fix(relay): give each hop that crosses the exit of a relay a verdict

What callers saw: 502 for requests that another relay had sent to a relay at the moment of its planned exit. They were never run, but their sender had to take them for requests that may have run.

Cause: a relay exits as soon as nothing is in flight, while its peers still keep connections to it. What lay in their sockets, or in the accept queue, was reset.

Change: before the exit the relay accepts what is waiting, stops listening and ends each connection without a request in progress with a refusal (notSent, relayLeaves), behind which nothing is read as a request.

--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -1,10 +1,11 @@
 import {discardResponse} from '@carobseam/calls.exchange';
 import type {QueuedRequest, WorkerLoad} from '@carobseam/calls.worker_queue';
 import type {LogFields} from '@carobseam/core.logger';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Readable} from 'node:stream';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import {forwardedHeaders} from './forwarded_headers.js';
+import {HopConnections} from './hop_connections.js';
 import type {HopDelays} from './hop_delay.js';
 import {respondToHealthProbe} from './health_probe.js';
 import {
@@ -34,6 +35,12 @@
   wireHeaders.expectedWorker,
 ]);
 
+const RELAY_LEAVES = {
+  verdict: 'notSent',
+  reason: 'relayLeaves',
+  retryAfterMs: 0,
+} as const;
+
 /** A hop request that has been read. */
 interface ReadHop {
   hop: HopRequest;
@@ -66,10 +73,28 @@
 /** Handles the requests that other relays send to the local worker. */
 export class InboundHandler {
   readonly #options: InboundHandlerOptions;
+  readonly #connections: HopConnections;
   #activeCount = 0;
 
   constructor(options: InboundHandlerOptions) {
     this.#options = options;
+    this.#connections = new HopConnections({
+      clock: options.clock,
+      refusal: () => this.#encodeRefusal(),
+    });
+  }
+
+  /** Follows the connections of the server whose requests this handles. */
+  watch(server: Server): void {
+    this.#connections.watch(server);
+  }
+
+  /**
+   * Ends the connections of other relays before the exit, when new requests are
+   * refused already, so that each request that they send gets a verdict.
+   */
+  async retire(server: Server): Promise<void> {
+    await this.#connections.retire(server);
   }
 
   /** Number of requests in flight. */
@@ -78,6 +103,10 @@
   }
 
   handle(request: IncomingMessage, response: ServerResponse): void {
+    if (!this.#connections.begin(request, response)) {
+      request.resume();
+      return;
+    }
     this.#activeCount++;
     response.sendDate = false;
     onceClosed(request, response, () => this.#activeCount--);
@@ -119,8 +148,7 @@
     );
     const body = await readBody(request, MAX_BODY_BYTES);
     if (this.#options.isRefusingNewRequests()) {
-      const refusal = {reason: 'relayLeaves', retryAfterMs: 0};
-      this.#respond(request, response, {verdict: 'notSent', ...refusal});
+      this.#respond(request, response, RELAY_LEAVES);
       return;
     }
     await this.#options.intake.submit({
@@ -242,6 +270,21 @@
     });
   }
 
+  /** Encodes the refusal of a request that was not read. */
+  #encodeRefusal(): string {
+    const verdict = encodeHopResponse({
+      ...RELAY_LEAVES,
+      load: {...this.#options.workerGate.load, isLeaving: true},
+    });
+    return [
+      'HTTP/1.1 503 Service Unavailable',
+      `${hopHeaders.response}: ${verdict}`,
+      'Connection: close',
+      'Content-Length: 0',
+      '\r\n',
+    ].join('\r\n');
+  }
+
   #respond(
     request: IncomingMessage,
     response: ServerResponse,
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -94,6 +94,7 @@
   readonly #hopDelays: HopDelays;
   readonly #shutdown: ShutdownSchedule;
   readonly #servers: Server[] = [];
+  #inboundServer?: Server;
   #outboundServer?: Server;
   #housekeepingTimer?: Timer;
 
@@ -235,6 +236,8 @@
       this.#inbound.handle(request, response),
     );
     inbound.keepAliveTimeout = INBOUND_KEEP_ALIVE_TIMEOUT_MS;
+    this.#inbound.watch(inbound);
+    this.#inboundServer = inbound;
     this.#outboundServer = await listen(
       settings.outboundAddress,
       (request, response) => {
@@ -256,11 +259,20 @@
    * at first still serves new requests and later refuses them. Resolves when
    * callers have had time to notice and no request is in flight, or in the last
    * sixth of the platform's grace period; callers whose requests are still in
-   * flight then get an error response.
+   * flight then get an error response. Other relays get a refusal on each
+   * connection that is still open.
    */
   async drain(): Promise<void> {
-    const {clock} = this.#options;
     this.#shutdown.start();
+    await this.#untilIdle();
+    if (this.#inboundServer) {
+      await this.#inbound.retire(this.#inboundServer);
+    }
+  }
+
+  /** Waits until nothing is in flight, or until the relay must exit. */
+  async #untilIdle(): Promise<void> {
+    const {clock} = this.#options;
     for (;;) {
       // After a delay of the event loop, timers run before received data is read.
       await setImmediate();
