fix(relay): count the grace time from the sending of a signal that is handled late

What callers saw: in the planned stop of a relay short of processor time, requests that were sent later than 3 s after the signal were taken, passed on and then cut with 504 or 503 while their worker was at work; with a signal handled over 0.8 s late, the relay was killed with requests in flight.

Cause: ShutdownSchedule counted from the handling of the signal, the platform counts from its sending.

Change: EventLoopMonitor tells the earliest time at which a signal that is handled now can have been sent: the last check of the event loop if that was punctual, otherwise the one before. New requests are refused at the latest 2.95 s after that time, and the relay exits 0.25 s before the end of the grace time that counts from it. For a signal that is handled in time nothing changes.

Evidence: the four new tests of drain.test.ts (a signal 900 ms late, before and after the late timers run) failed without the change: one request reached the worker in place of none; the drain did not end in time. They pass now.

--- a/daemon/relay/src/bin.ts
+++ b/daemon/relay/src/bin.ts
@@ -71,7 +71,7 @@
   monitor: EventLoopMonitor,
 ): Promise<void> {
   log.logger.info('stopping', {cause: 'SIGTERM'});
-  await relay.drain();
+  await relay.drain(monitor.earliestSignalMs);
   relay.close();
   monitor.close();
   log.logger.info('stopped', {});
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -261,9 +261,13 @@
    * sixth of the platform's grace period; callers whose requests are still in
    * flight then get an error response. Other relays get a refusal on each
    * connection that is still open.
+   *
+   * @param earliestSignalMs see `ShutdownSchedule.start`.
    */
-  async drain(): Promise<void> {
-    this.#shutdown.start();
+  async drain(
+    earliestSignalMs = this.#options.clock.monotonicMs(),
+  ): Promise<void> {
+    this.#shutdown.start(earliestSignalMs);
     await this.#untilIdle();
     if (this.#inboundServer) {
       await this.#inbound.retire(this.#inboundServer);
--- a/daemon/relay/src/shutdown_schedule.ts
+++ b/daemon/relay/src/shutdown_schedule.ts
@@ -1,10 +1,12 @@
 import type {Clock} from '@carobseam/core.types';
 
 const MIN_DRAIN_MS = 2600; // two failed readiness checks at an interval of 1 s
-const REFUSE_NEW_REQUESTS_AFTER_MS = 2500; // requests sent after 3 s must not be broken off, and the signal may be handled late
+const REFUSE_NEW_REQUESTS_AFTER_MS = 2500; // requests sent later than 3 s after the signal must not be broken off
+const LATEST_REFUSE_AFTER_SIGNAL_MS = 2950; // the same bound for a signal that is handled late
 const UNBROKEN_GRACE_SHARE = 5 / 6; // part of the grace time in which no request may be broken off
 const UNBROKEN_MARGIN_MS = 50; // responses at a deadline are sent a little earlier
 const LAST_RESPONSES_RESERVE_MS = 150; // time for the last responses to pass through two relays
+const EXIT_RESERVE_MS = 250; // from then on, to end the connections of other relays and to exit
 
 /**
  * The times of a relay's graceful shutdown. They are read from the clock at each
@@ -12,19 +14,28 @@
  */
 export class ShutdownSchedule {
   readonly #clock: Clock;
-  readonly #unbrokenMs: number;
+  readonly #graceMs: number;
   #startMs = Infinity;
+  #earliestSignalMs = Infinity;
 
   /** @param graceMs time from SIGTERM to SIGKILL, in ms. */
   constructor(clock: Clock, graceMs: number) {
     this.#clock = clock;
-    // The rest of the grace time covers a signal that is handled late.
-    this.#unbrokenMs = graceMs * UNBROKEN_GRACE_SHARE + UNBROKEN_MARGIN_MS;
+    this.#graceMs = graceMs;
   }
 
-  /** Starts the shutdown; later calls change nothing. */
-  start(): void {
-    this.#startMs = Math.min(this.#startMs, this.#clock.monotonicMs());
+  /**
+   * Starts the shutdown; later calls change nothing.
+   *
+   * @param earliestSignalMs the earliest time at which the signal can have been
+   *     sent, on the monotonic clock, in ms. The platform's bounds count from the
+   *     sending of the signal.
+   */
+  start(earliestSignalMs: number): void {
+    if (!this.isDraining) {
+      this.#startMs = this.#clock.monotonicMs();
+      this.#earliestSignalMs = Math.min(earliestSignalMs, this.#startMs);
+    }
   }
 
   get isDraining(): boolean {
@@ -32,17 +43,22 @@
   }
 
   get isRefusingNewRequests(): boolean {
-    return this.#hasPassed(REFUSE_NEW_REQUESTS_AFTER_MS);
+    return this.#hasReached(
+      Math.min(
+        this.#startMs + REFUSE_NEW_REQUESTS_AFTER_MS,
+        this.#earliestSignalMs + LATEST_REFUSE_AFTER_SIGNAL_MS,
+      ),
+    );
   }
 
   /** Whether callers have had time to notice that the relay leaves. */
   get mayExit(): boolean {
-    return this.#hasPassed(MIN_DRAIN_MS);
+    return this.#hasReached(this.#startMs + MIN_DRAIN_MS);
   }
 
   /** Whether the relay exits even with requests in flight. */
   get mustExit(): boolean {
-    return this.#hasPassed(this.#unbrokenMs + LAST_RESPONSES_RESERVE_MS);
+    return this.#hasReached(this.deadlineMs + LAST_RESPONSES_RESERVE_MS);
   }
 
   /**
@@ -50,10 +66,15 @@
    * infinite before the start.
    */
   get deadlineMs(): number {
-    return this.#startMs + this.#unbrokenMs;
+    const unbrokenMs = this.#graceMs * UNBROKEN_GRACE_SHARE;
+    const reserveMs = LAST_RESPONSES_RESERVE_MS + EXIT_RESERVE_MS;
+    return Math.min(
+      this.#startMs + unbrokenMs + UNBROKEN_MARGIN_MS,
+      this.#earliestSignalMs + this.#graceMs - reserveMs,
+    );
   }
 
-  #hasPassed(durationMs: number): boolean {
-    return this.#clock.monotonicMs() >= this.#startMs + durationMs;
+  #hasReached(timeMs: number): boolean {
+    return this.#clock.monotonicMs() >= timeMs;
   }
 }
--- a/daemon/relay/test/drain.test.ts
+++ b/daemon/relay/test/drain.test.ts
@@ -1,5 +1,8 @@
 import type {MeshSnapshot, MeshWorker} from '@carobseam/config.mesh';
 import {ManualClock} from '@carobseam/core.clock';
+import {silentLogger} from '@carobseam/core.logger';
+import {Metrics} from '@carobseam/core.metrics';
+import {EventLoopMonitor} from '@carobseam/daemon.relay';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import {expect} from 'chai';
 import net from 'node:net';
@@ -22,6 +25,8 @@
 const REFUSE_AFTER_MS = 3000;
 const ROUTE_TIMEOUT_MS = 10_000; // longer than the grace time
 const LATE_SIGNAL_MS = 450; // delay of the event loop when the signal comes
+const VERY_LATE_SIGNAL_MS = 900;
+const EXIT_MS = 50; // left for the exit before the platform kills the relay
 const GRACE_MS = 4000; // of the relay under test
 
 /** A relay whose worker does not respond by itself. */
@@ -234,4 +239,61 @@
       await peerWorker.close();
     });
   });
+
+  const lateSignals: Record<string, (clock: ManualClock) => void> = {
+    'before timers run': () => {},
+    'after timers have run': clock => clock.advance(0),
+  };
+  for (const [order, runTimers] of Object.entries(lateSignals)) {
+    const startLate = async (fixture: DrainFixture) => {
+      const {clock, relay} = fixture;
+      const metrics = new Metrics();
+      const monitor = new EventLoopMonitor({
+        clock,
+        logger: silentLogger,
+        metrics,
+      });
+      monitor.start();
+      clock.advance(1000);
+      clock.jump(VERY_LATE_SIGNAL_MS);
+      runTimers(clock);
+      const drained = relay
+        .drain(monitor.earliestSignalMs)
+        .then(() => relay.close());
+      await sleep(20);
+      return drained;
+    };
+
+    it(`guards against taking a request later than 3 s after a signal that was handled 900 ms late, ${order}`, async () => {
+      await withDrain(async fixture => {
+        const {clock, worker, call: callRelay} = fixture;
+        void startLate(fixture);
+        await sleep(20);
+        clock.jump(REFUSE_AFTER_MS - VERY_LATE_SIGNAL_MS);
+        const result = callRelay('/buy/1');
+        await Promise.race([result, untilRequestRuns(worker)]);
+        expect(worker.requests).to.have.length(0);
+        expect((await result).status).to.equal(503);
+      });
+    });
+
+    it(`guards against being killed with a request in flight after a signal that was handled 900 ms late, ${order}`, async () => {
+      await withDrain(async fixture => {
+        const {worker, call: callRelay, stall} = fixture;
+        const result = callRelay('/buy/1');
+        await untilRequestRuns(worker);
+        const drained = startLate(fixture);
+        await sleep(20);
+        await stall((GRACE_MS * 5) / 6 - VERY_LATE_SIGNAL_MS);
+        await sleep(40);
+        expect(worker.requests[0]!.response.destroyed).to.equal(false);
+        await stall(GRACE_MS / 6 - EXIT_MS);
+        expect((await result).status).to.equal(504);
+        await Promise.race([
+          drained,
+          sleep(200).then(() => expect.fail('runs')),
+        ]);
+      });
+    });
+  }
 });
--- a/daemon/relay/test/exit_of_worker_relay.test.ts
+++ b/daemon/relay/test/exit_of_worker_relay.test.ts
@@ -114,7 +114,7 @@
   return {
     send: () =>
       socket.write(
-        `POST /buy/1 HTTP/1.1\r\nHost: hints.example\r\n` +
+        'POST /buy/1 HTTP/1.1\r\nHost: hints.example\r\n' +
           `${wireHeaders.requestId}: id-1\r\nContent-Length: 0\r\n\r\n`,
       ),
     close: () => void socket.destroy(),
