test(relay): a failing case of a queued request that is started shortly before the exit

The gate refuses queued requests only once the drain's deadline has passed. A request that was queued before SIGTERM keeps its own deadline, so it is started in a slot that becomes free up to the last moment, and is cut 150 ms after the drain's deadline.

--- a/daemon/relay/test/drain.test.ts
+++ b/daemon/relay/test/drain.test.ts
@@ -28,6 +28,7 @@
 const VERY_LATE_SIGNAL_MS = 900;
 const EXIT_MS = 50; // left for the exit before the platform kills the relay
 const GRACE_MS = 4000; // of the relay under test
+const LAST_UNBROKEN_MS = 3200; // shortly before the last sixth of the grace time
 
 /** A relay whose worker does not respond by itself. */
 interface DrainFixture {
@@ -92,6 +93,27 @@
   return snapshot;
 }
 
+/** Starts a relay that forwards requests to the worker of the relay under test. */
+async function withEntryRelay(
+  {entry, ports, clock}: DrainFixture,
+  run: (entryRelay: Pick<DrainFixture, 'relay' | 'call'>) => Promise<void>,
+): Promise<void> {
+  const host = '127.0.0.2';
+  const port = ports[0]!;
+  const worker = await startWorker(host);
+  const source = new FakeSource(createLongSnapshot([entry]));
+  const {relay, close} = await startRelay(worker, ports, source, clock);
+  try {
+    await run({
+      relay,
+      call: path => call({host, port, path, deadlineMs: 60_000}),
+    });
+  } finally {
+    close();
+    await worker.close();
+  }
+}
+
 async function untilRequestRuns(worker: FakeWorker, count = 1): Promise<void> {
   for (let turn = 0; turn < 100 && worker.requests.length < count; turn++) {
     await sleep(5);
@@ -296,4 +318,31 @@
       });
     });
   }
+
+  it('guards against starting a queued request that cannot complete before the exit', async () => {
+    await withDrain(async fixture => {
+      const {relay, worker, entry, stall} = fixture;
+      await withEntryRelay(fixture, async entryRelay => {
+        const callAll = (count: number) =>
+          Array.from({length: count}, () => entryRelay.call('/buy/1'));
+        const running = callAll(entry.slots);
+        await untilRequestRuns(worker, entry.slots);
+        const [queued] = callAll(1);
+        await sleep(50);
+        const drained = relay.drain().then(() => relay.close());
+        await sleep(20);
+        await stall(1000);
+        void entryRelay.relay.drain();
+        await stall(LAST_UNBROKEN_MS - 1000);
+        worker.requests.forEach(respond);
+        await Promise.all(running);
+        await sleep(50);
+        await stall(GRACE_MS - LAST_UNBROKEN_MS);
+        await drained;
+        const {status} = await queued!;
+        const runs = worker.requests.length;
+        expect({status, runs}).to.deep.equal({status: 503, runs: entry.slots});
+      });
+    });
+  });
 });
