fix(relay): take only refused connections as proof that a relay has ended

Cause: three probes without a connection within 300 ms each ended a silent hop. The kernel also drops connections to a relay that is short of processor time (its accept queue is full), and a congested link delays them.

Change: only connections that are refused count, which means that no process listens. The VM still counts as down, and an idempotent request is still sent to another worker if the budget allows it. A request whose VM was cut off and which the budget does not allow to repeat is now held until its route's timeout. The test of a VM that cannot be reached keeps its check and is named for the ended relay; the probe test with refused connections is unchanged.

--- a/calls/relay/src/attempt.ts
+++ b/calls/relay/src/attempt.ts
@@ -184,14 +184,14 @@
   }
 
   /**
-   * Whether no response can come any more: the VM cannot be reached, or its
-   * relay has been responding on new connections for some time, but not on that
+   * Whether no response can come any more: the relay of the VM has ended, or it
+   * has been responding on new connections for some time, but not on that
    * of the attempt.
    */
   #isHopDead(): boolean {
     const {clock, peerHealth} = this.#options.context;
     const vmAddress = vmAddressOf(this.worker);
-    if (peerHealth.isUnreachable(vmAddress)) {
+    if (peerHealth.hasEnded(vmAddress)) {
       return true;
     }
     const answerMs = peerHealth.lastAnswerMs(vmAddress);
--- a/calls/relay/src/peer_health.ts
+++ b/calls/relay/src/peer_health.ts
@@ -4,11 +4,12 @@
 
 const PROBE_INTERVAL_MS = 300; // a restarted relay listens within a second
 const MAX_PROBE_INTERVAL_MS: Record<FailedProbe, number> = {
-  notConnected: 600, // finds a restarted relay soon
+  refused: 600, // finds a restarted relay soon
+  notConnected: 600,
   unanswered: 1200, // spares a relay that is overloaded
 };
 const PROBE_TIMEOUT_MS = 300; // a response from another data centre takes a few ms
-const UNREACHABLE_PROBES = 3; // SYN packets may be lost
+const ENDED_PROBES = 3; // a relay that restarts refuses connections for a moment
 
 /** Options of `PeerHealth`. */
 export interface PeerHealthOptions {
@@ -28,11 +29,12 @@
 interface DownVm {
   timer?: Timer;
   intervalMs: number;
-  /** Probes in a row that found no connection. */
-  failedConnections: number;
+  /** Probes in a row whose connection was refused. */
+  refusedConnections: number;
 }
 
-type FailedProbe = 'unanswered' | 'notConnected';
+/** Why a probe failed; `refused` means that no process listens on the VM. */
+type FailedProbe = 'unanswered' | 'notConnected' | 'refused';
 
 /** Result of one probe. */
 type ProbeResult = 'answered' | FailedProbe;
@@ -62,10 +64,14 @@
     return this.#down.has(vmAddress);
   }
 
-  /** Whether a VM is down and does not accept connections either. */
-  isUnreachable(vmAddress: string): boolean {
+  /**
+   * Whether the relay of a VM has ended. A connection that is not opened in time
+   * does not show this: the kernel also drops connections to a relay that is
+   * short of processor time, and a congested link delays them.
+   */
+  hasEnded(vmAddress: string): boolean {
     const vm = this.#down.get(vmAddress);
-    return vm !== undefined && vm.failedConnections >= UNREACHABLE_PROBES;
+    return vm !== undefined && vm.refusedConnections >= ENDED_PROBES;
   }
 
   /**
@@ -81,7 +87,7 @@
     if (this.#isClosed || this.#down.has(vmAddress)) {
       return;
     }
-    const vm = {intervalMs: PROBE_INTERVAL_MS, failedConnections: 0};
+    const vm = {intervalMs: PROBE_INTERVAL_MS, refusedConnections: 0};
     this.#down.set(vmAddress, vm);
     this.#options.onChange(vmAddress, 'down');
     this.#probe(vmAddress, vm);
@@ -134,7 +140,11 @@
       result = 'answered';
       response.destroy();
     });
-    request.on('error', () => {});
+    request.on('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'ECONNREFUSED') {
+        result = 'refused';
+      }
+    });
     request.on('close', () => {
       timer.cancel();
       this.#handleProbeResult(vmAddress, vm, result);
@@ -152,8 +162,8 @@
       this.#options.onChange(vmAddress, 'up');
       return;
     }
-    vm.failedConnections =
-      result === 'notConnected' ? vm.failedConnections + 1 : 0;
+    vm.refusedConnections =
+      result === 'refused' ? vm.refusedConnections + 1 : 0;
     vm.timer = this.#options.clock.setTimer(vm.intervalMs, () =>
       this.#probe(vmAddress, vm),
     );
--- a/calls/relay/test/peer_health.test.ts
+++ b/calls/relay/test/peer_health.test.ts
@@ -62,7 +62,7 @@
     await waitForProbe();
     expect(sockets.size).to.be.above(0);
     expect(changes).to.deep.equal([`${VM} down`]);
-    expect(health.isUnreachable(VM)).to.equal(false);
+    expect(health.hasEnded(VM)).to.equal(false);
     health.close();
     sockets.forEach(socket => socket.destroy());
     listener.close();
@@ -71,11 +71,11 @@
   it('guards against waiting for a VM that refuses connections', async () => {
     const {health} = await createHealth();
     health.markDown(VM);
-    expect(health.isUnreachable(VM)).to.equal(false);
+    expect(health.hasEnded(VM)).to.equal(false);
     await waitForProbe();
     await waitForProbe();
     await waitForProbe();
-    expect(health.isUnreachable(VM)).to.equal(true);
+    expect(health.hasEnded(VM)).to.equal(true);
     health.close();
   });
 
--- a/calls/relay/test/silent_hop.test.ts
+++ b/calls/relay/test/silent_hop.test.ts
@@ -112,7 +112,7 @@
   handlers: readonly PeerHandler[];
   retriesInBudget?: number;
   isIdempotent?: boolean;
-  isUnreachable?: boolean;
+  hasRelayEnded?: boolean;
   lastAnswerMs?: () => number;
 }
 
@@ -153,7 +153,7 @@
     workerLoads: new WorkerLoads(clock, 2000),
     peerHealth: {
       isDown: (vmAddress: string) => downVms.includes(vmAddress),
-      isUnreachable: () => options.isUnreachable ?? false,
+      hasEnded: () => options.hasRelayEnded ?? false,
       lastAnswerMs: options.lastAnswerMs ?? (() => -Infinity),
       markDown: (vmAddress: string) => downVms.push(vmAddress),
     },
@@ -248,10 +248,10 @@
     );
   });
 
-  it('guards against holding a request whose VM cannot be reached', async () => {
+  it('guards against holding a request whose relay has ended', async () => {
     const handlers = [neverReply, neverReply];
     await withDispatcher(
-      {handlers, isUnreachable: true},
+      {handlers, hasRelayEnded: true},
       async ({dispatch}) => {
         expect(describeResult(await dispatch())).to.equal('unknown silent');
       },
