fix(relay): start no queued request that cannot complete before the exit

Cause: requests that are queued when the signal comes kept their own deadline. The gate refused them only when the time of the drain was over, so a slot that became free just before it started one more.

Change: at the start of the shutdown the gate limits their expiry to the end of the drain. Those that are not expected to complete by then are refused at once as not run, so that the sender can place them elsewhere; the others carry the shorter deadline to the worker.

Evidence: the test of a queued request in drain.test.ts failed before ({status: 502, runs: 5} in place of {status: 503, runs: 4}) and passes now.

--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -214,6 +214,15 @@
     return {result, cancel: () => this.#cancel(pending)};
   }
 
+  /**
+   * Starts no queued request that cannot complete before the relay exits.
+   *
+   * @param exitMs when requests in flight end, on the monotonic clock.
+   */
+  prepareExit(exitMs: number): void {
+    this.#queue.limitExpiry(exitMs);
+  }
+
   /**
    * Refuses all queued and new requests, because the relay is about to exit;
    * running requests complete.
--- a/calls/worker_queue/src/worker_queue.ts
+++ b/calls/worker_queue/src/worker_queue.ts
@@ -96,6 +96,17 @@
     this.#startQueued();
   }
 
+  /**
+   * Limits the time at which queued requests expire, on the monotonic clock, in
+   * ms, and refuses those that are not expected to complete before it.
+   */
+  limitExpiry(expiresAtMs: number): void {
+    for (const request of this.#queued) {
+      request.expiresAtMs = Math.min(request.expiresAtMs, expiresAtMs);
+    }
+    this.#refuseExpiring();
+  }
+
   close(): void {
     this.#startTimer?.cancel();
   }
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -268,6 +268,7 @@
     earliestSignalMs = this.#options.clock.monotonicMs(),
   ): Promise<void> {
     this.#shutdown.start(earliestSignalMs);
+    this.#workerGate.prepareExit(this.#shutdown.deadlineMs);
     await this.#untilIdle();
     if (this.#inboundServer) {
       await this.#inbound.retire(this.#inboundServer);
