fix(relay): serve the calls of a worker while its requests complete in a drain

What callers saw: failures (500) of requests that a worker was running beside a relay in its planned stop. From 2.5 s after the signal the relay refused the calls that the worker made in the course of them, and a worker whose call fails answers 500.

Cause: all new requests were refused alike, also those whose caller has no other relay and cannot come back.

Change: a request whose caller cannot retry is taken during the drain as long as its own deadline ends before the exit, so that the exit cuts none of them. The drain lasts no longer for it than the requests that make the calls.

Evidence: the test of own calls in drain.test.ts failed before (503 in place of 200, and the run timed out); the test of a call that the exit could cut passes with and without the change.

--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -97,7 +97,7 @@
       return;
     }
     const refuseIfLeaving = () => {
-      if (!this.#context.isRefusingNewRequests()) {
+      if (!this.#isRefused(request, route, arrivedMs)) {
         return false;
       }
       request.resume();
@@ -272,13 +272,33 @@
     breakOff(response);
   }
 
+  /**
+   * Whether a leaving relay turns a request away. One whose caller cannot retry,
+   * for example a worker that runs a request, is taken as long as it ends in time
+   * for the exit.
+   */
+  #isRefused(
+    request: IncomingMessage,
+    route: MeshRoute,
+    arrivedMs: number,
+  ): boolean {
+    const {callerDeadlines, isRefusingNewRequests, shutdownDeadlineMs} =
+      this.#context;
+    if (!isRefusingNewRequests()) {
+      return false;
+    }
+    const deadlineMs = deadlineOf(request, route);
+    const {canCallerRetry} = callerDeadlines.estimate(route, deadlineMs);
+    const endMs = arrivedMs + Math.min(deadlineMs, route.timeoutMs);
+    return canCallerRetry || endMs > shutdownDeadlineMs();
+  }
+
   #computeTimes(
     request: IncomingMessage,
     route: MeshRoute,
     arrivedMs: number,
   ): RequestTimes {
-    const sentDeadlineMs = Number(headerOf(request, wireHeaders.deadlineMs));
-    const deadlineMs = sentDeadlineMs > 0 ? sentDeadlineMs : route.timeoutMs;
+    const deadlineMs = deadlineOf(request, route);
     const callerDeadline = this.#context.callerDeadlines.estimate(
       route,
       deadlineMs,
@@ -356,6 +376,12 @@
   }
 }
 
+/** The time that the caller waits, in ms. */
+function deadlineOf(request: IncomingMessage, route: MeshRoute): number {
+  const sentMs = Number(headerOf(request, wireHeaders.deadlineMs));
+  return sentMs > 0 ? sentMs : route.timeoutMs;
+}
+
 function headerOf(request: IncomingMessage, name: string): string | undefined {
   return request.headers[name] as string | undefined;
 }
--- a/daemon/relay/test/drain.test.ts
+++ b/daemon/relay/test/drain.test.ts
@@ -26,6 +26,7 @@
 const ROUTE_TIMEOUT_MS = 10_000; // longer than the grace time
 const LATE_SIGNAL_MS = 450; // delay of the event loop when the signal comes
 const VERY_LATE_SIGNAL_MS = 900;
+const OWN_CALL_MS = 600; // deadline of a call that a worker makes
 const EXIT_MS = 50; // left for the exit before the platform kills the relay
 const GRACE_MS = 4000; // of the relay under test
 const LAST_UNBROKEN_MS = 3200; // shortly before the last sixth of the grace time
@@ -345,4 +346,36 @@
       });
     });
   });
+
+  it('guards against refusing the calls of a worker whose requests it still lets complete', async () => {
+    await withDrain(async ({relay, clock, worker, port, call: callRelay}) => {
+      const result = callRelay('/buy/1');
+      await untilRequestRuns(worker);
+      void relay.drain();
+      await sleep(20);
+      clock.jump(REFUSE_AFTER_MS - LATE_SIGNAL_MS);
+      const ownCall = call({
+        host: HOST,
+        port,
+        path: '/read/1',
+        deadlineMs: OWN_CALL_MS,
+      });
+      await untilRequestRuns(worker, 2);
+      worker.requests.forEach(respond);
+      expect((await ownCall).status).to.equal(200);
+      expect((await result).status).to.equal(200);
+    });
+  });
+
+  it('guards against taking a call that could be cut by the exit', async () => {
+    await withDrain(async ({relay, clock, worker, port}) => {
+      void relay.drain();
+      await sleep(20);
+      clock.jump(REFUSE_AFTER_MS);
+      const ownCall = {host: HOST, port, path: '/read/1'};
+      const {status} = await call({...ownCall, deadlineMs: OWN_CALL_MS});
+      expect(status).to.equal(503);
+      expect(worker.requests).to.have.length(0);
+    });
+  });
 });
