feat(relay): log what tells the causes of a lost request apart

Change: stopping has mostLateMs, vm_relay_ended follows vm_lost when connections are refused, requests_cut_by_exit counts what is in flight at a forced exit.

--- a/calls/relay/src/peer_health.ts
+++ b/calls/relay/src/peer_health.ts
@@ -17,14 +17,14 @@
   /** Inbound port of the other relays. */
   port: number;
   /**
-   * Called for each change; `left` means that a VM that was down has no worker
-   * any more.
+   * Called for each change; `ended` means that the relay of a VM that is down has
+   * ended, `left` that the VM has no worker any more.
    */
   onChange: (vmAddress: string, change: PeerChange) => void;
 }
 
 /** Change of the health of a VM. */
-export type PeerChange = 'down' | 'up' | 'left';
+export type PeerChange = 'down' | 'ended' | 'up' | 'left';
 
 interface DownVm {
   timer?: Timer;
@@ -164,6 +164,9 @@
     }
     vm.refusedConnections =
       result === 'refused' ? vm.refusedConnections + 1 : 0;
+    if (vm.refusedConnections === ENDED_PROBES) {
+      this.#options.onChange(vmAddress, 'ended');
+    }
     vm.timer = this.#options.clock.setTimer(vm.intervalMs, () =>
       this.#probe(vmAddress, vm),
     );
--- a/daemon/relay/src/bin.ts
+++ b/daemon/relay/src/bin.ts
@@ -70,8 +70,12 @@
   log: RateLimitedLog,
   monitor: EventLoopMonitor,
 ): Promise<void> {
-  log.logger.info('stopping', {cause: 'SIGTERM'});
-  await relay.drain(monitor.earliestSignalMs);
+  const {earliestSignalMs} = monitor;
+  log.logger.info('stopping', {
+    cause: 'SIGTERM',
+    mostLateMs: Math.round(performance.now() - earliestSignalMs),
+  });
+  await relay.drain(earliestSignalMs);
   relay.close();
   monitor.close();
   log.logger.info('stopped', {});
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -10,7 +10,6 @@
   ReadDelayProbe,
   RequestIntake,
   WorkerGate,
-  type PeerChange,
 } from '@carobseam/calls.relay';
 import {ServiceRetryBudgets} from '@carobseam/calls.retries';
 import {
@@ -51,12 +50,6 @@
 const DRAIN_CHECK_INTERVAL_MS = 20; // the longest delay until an idle relay exits
 const HOUSEKEEPING_INTERVAL_MS = 1000; // the longest time for which an expired idle connection stays open
 
-const VM_LOG_EVENTS: Record<PeerChange, string> = {
-  down: 'vm_lost',
-  up: 'vm_regained',
-  left: 'vm_left',
-};
-
 /** Options of `Relay`. */
 export interface RelayOptions {
   settings: RelaySettings;
@@ -121,7 +114,12 @@
     this.#peerHealth = new PeerHealth({
       clock,
       port: inboundPort,
-      onChange: (vmAddress, change) => this.#handleVmChange(vmAddress, change),
+      onChange: (vmAddress, change) =>
+        this.#stateRecorder.recordVm(
+          vmAddress,
+          change,
+          this.#peerHealth.downCount,
+        ),
     });
     this.#workerGate = new WorkerGate({
       clock,
@@ -290,6 +288,10 @@
         return;
       }
       if (this.#shutdown.mustExit) {
+        this.#options.log.logger.warn('requests_cut_by_exit', {
+          outbound: this.#outbound.activeCount,
+          inbound: this.#inbound.activeCount,
+        });
         this.#outbound.abortAll();
         return;
       }
@@ -343,12 +345,6 @@
     );
   }
 
-  #handleVmChange(vmAddress: string, change: PeerChange): void {
-    const {log, metrics} = this.#options;
-    metrics.set('carobseam_relay_vms_down', this.#peerHealth.downCount);
-    log.logger.info(VM_LOG_EVENTS[change], {vmAddress});
-  }
-
   #respondReadiness(_request: IncomingMessage, response: ServerResponse): void {
     const isReady =
       !this.#shutdown.isDraining && this.#state.config !== undefined;
--- a/daemon/relay/src/state_change_recorder.ts
+++ b/daemon/relay/src/state_change_recorder.ts
@@ -1,3 +1,4 @@
+import type {PeerChange} from '@carobseam/calls.relay';
 import type {MeshStateChange, SourceRevision} from '@carobseam/config.mesh';
 import type {LogFields} from '@carobseam/core.logger';
 import type {Metrics} from '@carobseam/core.metrics';
@@ -30,7 +31,14 @@
   sourceRestored: ({era}) => ['source_restored', {era}],
 };
 
-/** Records the changes of the mesh state in the log and in the metrics. */
+const VM_EVENTS: Record<PeerChange, string> = {
+  down: 'vm_lost',
+  ended: 'vm_relay_ended',
+  up: 'vm_regained',
+  left: 'vm_left',
+};
+
+/** Records the changes of the mesh state and of other VMs in the log and in the metrics. */
 export class StateChangeRecorder {
   readonly #log: RateLimitedLog;
   readonly #metrics: Metrics;
@@ -50,4 +58,10 @@
       this.#metrics.set('carobseam_relay_source_era', change.era);
     }
   }
+
+  /** @param downCount number of VMs that are down after the change. */
+  recordVm(vmAddress: string, change: PeerChange, downCount: number): void {
+    this.#metrics.set('carobseam_relay_vms_down', downCount);
+    this.#log.logger.info(VM_EVENTS[change], {vmAddress});
+  }
 }
