fix(relay): take no hop during a drain that the exit could break off

What callers saw: 502, or a failure at the deadline of the worker's relay, for requests that were sent to a relay in its planned stop and had more time left than it.

Cause: until 2.5 s after the signal hops were taken whatever time they had, and the time was cut down to the end of the drain.

Change: a draining relay refuses, as not run, a hop whose time does not end before its own; the sender places it elsewhere and learns that it leaves.

Evidence: the new test of exit_of_worker_relay.test.ts failed before ('answered' in place of 'notSent') and passes now.

--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -142,12 +142,8 @@
     );
     this.#options.log.hopRead(delayMs);
     const scheduling = toQueuedRequest(hop, arrivedMs - delayMs);
-    scheduling.expiresAtMs = Math.min(
-      scheduling.expiresAtMs,
-      this.#options.shutdownDeadlineMs(),
-    );
     const body = await readBody(request, MAX_BODY_BYTES);
-    if (this.#options.isRefusingNewRequests()) {
+    if (this.#isRefused(scheduling)) {
       this.#respond(request, response, RELAY_LEAVES);
       return;
     }
@@ -167,6 +163,15 @@
     });
   }
 
+  /**
+   * Whether a leaving relay turns a request away: from some time on, and before
+   * it if the exit could break the request off. The sender can place it elsewhere.
+   */
+  #isRefused({expiresAtMs}: QueuedRequest): boolean {
+    const {isRefusingNewRequests, shutdownDeadlineMs} = this.#options;
+    return isRefusingNewRequests() || expiresAtMs > shutdownDeadlineMs();
+  }
+
   /** Submits a request to the worker and responds. */
   async #submit(
     request: IncomingMessage,
--- a/daemon/relay/test/exit_of_worker_relay.test.ts
+++ b/daemon/relay/test/exit_of_worker_relay.test.ts
@@ -25,6 +25,8 @@
 const MIN_DRAIN_MS = 2600;
 const WORKER_ID = 'i-0' as WorkerId;
 const CALLERS = 12;
+const AFTER_SIGNAL_MS = 1000;
+const EXIT_MS = 3600; // requests in flight end before it, by the grace time of the fixture
 
 /** A relay that is about to exit, and its worker. */
 interface ExitFixture {
@@ -39,7 +41,8 @@
 interface PeerConnection {
   socket: net.Socket;
   closed: Promise<unknown>;
-  sendHop(): void;
+  /** @param expiresInMs time until the caller's or the route's timeout. */
+  sendHop(expiresInMs?: number): void;
   /** Verdicts of the responses so far. */
   verdicts(): Array<string | undefined>;
 }
@@ -77,26 +80,28 @@
   const closed = new Promise(resolve => socket.once('close', resolve));
   await new Promise(resolve => socket.once('connect', resolve));
   await sleep(20);
-  const hop = encodeHopRequest({
-    worker: WORKER_ID,
-    isIdempotent: false,
-    rank: 1,
-    isLastCallerAttempt: false,
-    dueInMs: 500,
-    expiresInMs: 1500,
-  });
-  const request = [
-    'GET /buy/1 HTTP/1.1',
-    'Host: hints.example',
-    `${wireHeaders.requestId}: id-1`,
-    `${hopHeaders.request}: ${hop}`,
-    '\r\n',
-  ].join('\r\n');
+  const requestOf = (expiresInMs: number) => {
+    const hop = encodeHopRequest({
+      worker: WORKER_ID,
+      isIdempotent: false,
+      rank: 1,
+      isLastCallerAttempt: false,
+      dueInMs: 500,
+      expiresInMs,
+    });
+    return [
+      'GET /buy/1 HTTP/1.1',
+      'Host: hints.example',
+      `${wireHeaders.requestId}: id-1`,
+      `${hopHeaders.request}: ${hop}`,
+      '\r\n',
+    ].join('\r\n');
+  };
   const pattern = new RegExp(`^${hopHeaders.response}: (.*)$`, 'gim');
   return {
     socket,
     closed,
-    sendHop: () => void socket.write(request),
+    sendHop: (expiresInMs = 1500) => void socket.write(requestOf(expiresInMs)),
     verdicts: () =>
       [...received.matchAll(pattern)].map(
         ([, text]) => decodeHopResponse(text!.trim())?.verdict,
@@ -158,6 +163,21 @@
     });
   });
 
+  it('guards against taking a hop during the drain that the exit could break off', async () => {
+    await withExit(async ({relay, clock, worker, connect: connectPeer}) => {
+      const peer = await connectPeer();
+      void relay.drain();
+      clock.advance(AFTER_SIGNAL_MS);
+      peer.sendHop(EXIT_MS - AFTER_SIGNAL_MS);
+      await sleep(50);
+      expect(peer.verdicts()).to.deep.equal(['notSent']);
+      expect(worker.requests).to.have.length(0);
+      peer.sendHop(EXIT_MS - AFTER_SIGNAL_MS - 500);
+      await sleep(50);
+      expect(peer.verdicts()).to.deep.equal(['notSent', 'answered']);
+    });
+  });
+
   it('guards against a 502 for a request that another relay sent as this one exited', async () => {
     await withExit(async ({relay, clock, worker, ports}) => {
       const peerWorker = await startWorker(PEER_HOST);
