test(soak): overlapping planned stops, slow requests, and what a stop may end

No request of the soak lasted into the end of the grace: its routes end after 1.5 s, and relays were stopped one at a time. Callers of two routes of 4 s, whose requests last 1 to 4 s, go on sending until the relay is gone.

A request whose route's timeout was over when SIGKILL ended its relay is not owed an answer by the check for closed connections; the rule excludes it.

--- a/testing/soak/src/ledger.ts
+++ b/testing/soak/src/ledger.ts
@@ -15,6 +15,16 @@
 export class Ledger {
   readonly #runs = new Map<string, Run[]>();
   readonly #lastRunMs = new Map<string, number>();
+  readonly #arrivedIds = new Set<string>();
+
+  /** Notes a request that a worker may still refuse. */
+  recordArrival(requestId: string): void {
+    this.#arrivedIds.add(requestId);
+  }
+
+  hasArrived(requestId: string): boolean {
+    return this.#arrivedIds.has(requestId);
+  }
 
   begin(requestId: string, workerId: string, vmIndex: number): Run {
     const run: Run = {workerId, vmIndex, startMs: performance.now()};
--- a/testing/soak/src/mesh_faults.ts
+++ b/testing/soak/src/mesh_faults.ts
@@ -1,11 +1,12 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {oddEntries} from './odd_entries.js';
+import {plannedStops} from './planned_stops.js';
 import {
   between,
   faultMs,
   harm,
   vmFaults,
-  type FaultContext,
+  type MeshFault,
 } from './soak_faults.js';
 
 const ROLL_VMS = 6;
@@ -18,8 +19,6 @@
 const STORM_CHANGES = 10;
 const STORM_GAP_MS = 60; // as fast as the users' operators change it
 
-type MeshFault = (context: FaultContext) => Promise<void>;
-
 const awayStore =
   (mood: 'refusing' | 'resetting' | 'silent'): MeshFault =>
   async ({mesh, random}) => {
@@ -82,6 +81,7 @@
   restoreStore,
   stormConfig,
   writeOddEntries,
+  ...plannedStops,
   /** Stops one relay after the other while others lack processor time. */
   rollStarved: async context => {
     const idle = context.mesh.vms.filter(vm => !vm.isBusy).slice(0, ROLL_VMS);
--- a/testing/soak/src/run_soak.ts
+++ b/testing/soak/src/run_soak.ts
@@ -11,7 +11,9 @@
 import {isCalmSince, SOAK_HOST, SoakMesh, type SoakVm} from './soak_mesh.js';
 
 const CALLERS_PER_VM = 2;
+const SLOW_CALLERS_PER_VM = 4; // half of a worker's slots
 const MAX_PAUSE_MS = 80; // between two requests of one caller
+const MAX_SLOW_PAUSE_MS = 400; // some connections are idle when their relay exits
 const FULL_RATE_VMS = 8; // with more, each caller sends fewer requests
 const MIN_GAP_MS = 150; // faults come one after the other and at the same time
 const MAX_GAP_MS = 900;
@@ -68,7 +70,10 @@
     requests: 0,
     served: 0,
     lost: 0,
+    lost_at_stop: 0,
     false_refusals: 0,
+    untried: 0,
+    unanswered: 0,
   };
   readonly #running = new Set<Promise<void>>();
   #meshFault?: Promise<void>;
@@ -84,7 +89,10 @@
       retryBudget: RETRY_BUDGETS[options.seed % RETRY_BUDGETS.length]!,
       random: this.#trafficRandom,
       ledger: this.#ledger,
-      onArrival: (id, vm) => this.#leavers.arrive(id, vm),
+      onArrival: (id, vm) => {
+        this.#ledger.recordArrival(id);
+        this.#leavers.arrive(id, vm);
+      },
     });
     this.#leavers = new LeavingCallers({
       vms: this.#mesh.vms,
@@ -127,21 +135,28 @@
   }
 
   #createCallers(vm: SoakVm): SoakCaller[] {
-    return Array.from(
-      {length: CALLERS_PER_VM},
-      (_, index) =>
-        new SoakCaller({
-          vm,
-          vms: this.#mesh.vms,
-          maxPauseMs:
-            MAX_PAUSE_MS * Math.max(1, this.#options.vms / FULL_RATE_VMS),
-          name: `${vm.index}-${index}`,
-          random: this.#trafficRandom,
-          ledger: this.#ledger,
-          counts: this.#counts,
-          broken: text => this.#tellBroken(text),
-        }),
-    );
+    const rateFactor = Math.max(1, this.#options.vms / FULL_RATE_VMS);
+    const create = (name: string, maxPauseMs: number, isSlow: boolean) =>
+      new SoakCaller({
+        vm,
+        mesh: this.#mesh,
+        maxPauseMs: maxPauseMs * rateFactor,
+        name: `${vm.index}-${name}`,
+        isSlow,
+        random: this.#trafficRandom,
+        ledger: this.#ledger,
+        counts: this.#counts,
+        broken: text => this.#tellBroken(text),
+        progress: this.#options.progress,
+      });
+    return [
+      ...Array.from({length: CALLERS_PER_VM}, (_, index) =>
+        create(`${index}`, MAX_PAUSE_MS, false),
+      ),
+      ...Array.from({length: SLOW_CALLERS_PER_VM}, (_, index) =>
+        create(`slow${index}`, MAX_SLOW_PAUSE_MS, true),
+      ),
+    ];
   }
 
   #injectFault(): void {
@@ -152,7 +167,9 @@
       broken: text => this.#tellBroken(text),
       lastRunMs: id => this.#ledger.lastRunMs(id),
     };
-    const isOfMesh = this.#random.nextFloat() < MESH_FAULT_SHARE;
+    const isOfMesh =
+      this.#random.nextFloat() < MESH_FAULT_SHARE ||
+      this.#namesOf(vmFaults).length === 0;
     const name = this.#pick(this.#namesOf(isOfMesh ? meshFaults : vmFaults));
     if (isOfMesh) {
       if (name && !this.#meshFault) {
--- a/testing/soak/src/soak_caller.ts
+++ b/testing/soak/src/soak_caller.ts
@@ -4,22 +4,54 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import type {Ledger} from './ledger.js';
 import {
+  EARLY_MS,
+  findLoss,
+  isStopping,
+  type EndedRequest,
+} from './loss_check.js';
+import {
+  GRACE_MS,
   isCalmSince,
   isCutSince,
   ROUTE_TIMEOUT_MS,
+  SLOW_ROUTE_TIMEOUT_MS,
   SOAK_HOST,
+  type SoakMesh,
   type SoakVm,
 } from './soak_mesh.js';
 import {bodyOf, sealOf} from './soak_worker.js';
 
 const DEADLINE_MS = 2500;
 const HELD_MS = 1000; // past the deadline; a turn of this busy process may take a part of it
-const EARLY_MS = 200; // an answer by so much before the timeout is not one for it
+const UNANSWERED_MS = 200; // from which a relay that stops owes an answer to a request
+const INACTIVE_MS = 100; // between two looks whether there is traffic
 const UNSAFE_SHARE = 0.3;
 const FRESH_CONNECTION_SHARE = 0.3;
 const SETTLE_MS = 300; // a relay that has just met a fault may still answer for it
 // Statuses that promise that the request has not run and will not.
 const PROMISES = new Set([408, 421, 429, 503]);
+// Statuses that leave it open whether the request has run.
+const UNCERTAIN = new Set([502, 504]);
+
+interface RouteUse {
+  read: string;
+  buy: string;
+  timeoutMs: number;
+  deadlineMs: number;
+}
+
+const QUICK: RouteUse = {
+  read: 'read',
+  buy: 'buy',
+  timeoutMs: ROUTE_TIMEOUT_MS,
+  deadlineMs: DEADLINE_MS,
+};
+const SLOW: RouteUse = {
+  read: 'slowRead',
+  buy: 'slowBuy',
+  timeoutMs: SLOW_ROUTE_TIMEOUT_MS,
+  deadlineMs: SLOW_ROUTE_TIMEOUT_MS,
+};
 
 interface Answer {
   status: number;
@@ -34,20 +66,29 @@
   requests: number;
   served: number;
   lost: number;
+  /** Of the lost ones, those whose caller's relay was stopping. */
+  lost_at_stop: number;
   false_refusals: number;
+  /** Answered 502 or 504 by relays, with no kill, though no worker got them. */
+  untried: number;
+  /** Closed without an answer by a relay that stops, though no worker got them. */
+  unanswered: number;
 }
 
 /** Options of `SoakCaller`. */
 export interface SoakCallerOptions {
   vm: SoakVm;
-  vms: readonly SoakVm[];
+  mesh: SoakMesh;
   /** Longest time between two requests, in ms. */
   maxPauseMs: number;
   name: string;
+  /** Whether it uses the slow routes, and only while callers shall. */
+  isSlow: boolean;
   random: RandomSource;
   ledger: Ledger;
   counts: SoakCounts;
   broken: (text: string) => void;
+  progress: (line: string) => void;
 }
 
 /** A caller on one VM that checks each answer. */
@@ -57,16 +98,25 @@
   /** Requests that must not have run more than once, or not at all. */
   readonly #unsafeIds: string[] = [];
   readonly #promisedIds: string[] = [];
+  /** Requests that count if no worker gets them. */
+  readonly #uncertainIds: string[] = [];
+  readonly #unansweredIds: string[] = [];
+  readonly #use: RouteUse;
   #sent = 0;
   #isStopped = false;
 
   constructor(options: SoakCallerOptions) {
     this.#options = options;
+    this.#use = options.isSlow ? SLOW : QUICK;
   }
 
   async run(): Promise<void> {
-    const {random, maxPauseMs} = this.#options;
+    const {random, maxPauseMs, isSlow, mesh} = this.#options;
     while (!this.#isStopped) {
+      if (isSlow && !mesh.hasSlowCallers) {
+        await pause(INACTIVE_MS);
+        continue;
+      }
       await this.#call();
       await pause(random.nextFloat() * maxPauseMs);
     }
@@ -79,13 +129,19 @@
 
   /** Checks what can only be known at the end; returns the doubled requests. */
   finish(): number {
-    const {ledger, counts} = this.#options;
+    const {ledger, counts, progress} = this.#options;
     for (const id of this.#promisedIds) {
       if (ledger.runsOf(id).length > 0) {
         counts.false_refusals++;
         this.#broken(id, 'ran though its refusal said it had not');
       }
     }
+    const untriedIds = this.#uncertainIds.filter(id => !ledger.hasArrived(id));
+    untriedIds.forEach(id => progress(`request ${id} untried`));
+    counts.untried += untriedIds.length;
+    counts.unanswered += this.#unansweredIds.filter(
+      id => !ledger.hasArrived(id),
+    ).length;
     const doubled = this.#unsafeIds.filter(id => ledger.runsOf(id).length > 1);
     doubled.forEach(id => this.#broken(id, 'ran more than once'));
     return doubled.length;
@@ -95,7 +151,7 @@
     const {counts, random, name} = this.#options;
     const isUnsafe = random.nextFloat() < UNSAFE_SHARE;
     const id = `${name}-${this.#sent++}`;
-    const url = `/${isUnsafe ? 'buy' : 'read'}/${id}`;
+    const url = `/${isUnsafe ? this.#use.buy : this.#use.read}/${id}`;
     const sentMs = performance.now();
     counts.requests++;
     const outcome = await this.#send(id, url, isUnsafe);
@@ -103,47 +159,50 @@
       this.#unsafeIds.push(id);
     }
     if (this.#isLost(id, outcome, sentMs)) {
-      counts.lost++;
-    } else if (typeof outcome === 'string') {
+      return;
+    }
+    if (typeof outcome === 'string') {
       this.#checkMissing(id, outcome, sentMs);
     } else {
       this.#checkAnswer(id, url, outcome, isUnsafe);
     }
   }
 
-  /**
-   * Whether a relay ended the request early, with an answer of its own or none,
-   * though a worker ran it and nothing on its way was killed or cut.
-   */
+  /** Counts a request that a relay ended early; false if it may end so. */
   #isLost(id: string, outcome: Outcome, sentMs: number): boolean {
-    const {vm, vms, ledger} = this.#options;
-    const endMs = performance.now();
-    const isFromWorker = typeof outcome !== 'string' && outcome.seal;
-    const isLate = endMs - sentMs > ROUTE_TIMEOUT_MS - EARLY_MS;
-    if (isFromWorker || isLate || isCutSince(vm, sentMs)) {
+    const {vm, mesh, ledger, counts} = this.#options;
+    if (typeof outcome !== 'string' && outcome.seal) {
       return false;
     }
-    const run = ledger
-      .runsOf(id)
-      .find(
-        ({vmIndex, ending}) =>
-          ending !== 'spoiled' && !isCutSince(vms[vmIndex]!, sentMs),
-      );
-    if (!run) {
-      return false;
-    }
-    const after = (ms: number) => `${Math.round(ms - sentMs)} ms`;
     const end = typeof outcome === 'string' ? outcome : outcome.status;
-    const work = run.endMs
-      ? `${run.ending} after ${after(run.endMs)}`
-      : 'still at work';
-    const sent = new Date(performance.timeOrigin + sentMs).toISOString();
-    this.#broken(
-      id,
-      `lost: ${end} from vm-${vm.index} after ${after(endMs)}, sent ${sent}, ` +
-        `run by ${run.workerId} after ${after(run.startMs)}, ${work}`,
-    );
-    return true;
+    const endMs = performance.now();
+    const {timeoutMs} = this.#use;
+    const request = {id, vm, sentMs, endMs, timeoutMs, end};
+    this.#noteUnsent(request);
+    const loss = findLoss(request, ledger, mesh.vms);
+    if ('text' in loss) {
+      counts.lost++;
+      counts.lost_at_stop += loss.kind === 'lostAtStop' ? 1 : 0;
+      this.#broken(id, loss.text);
+    }
+    return 'text' in loss || (loss.kind === 'excused' && end === 'closed');
+  }
+
+  /** Notes an end that is a pity if no worker gets the request. */
+  #noteUnsent({id, vm, sentMs, endMs, end}: EndedRequest): void {
+    const {mesh} = this.#options;
+    if (mesh.vms.some(other => isCutSince(other, sentMs))) {
+      return;
+    }
+    if (UNCERTAIN.has(Number(end))) {
+      this.#uncertainIds.push(id);
+    } else if (
+      end === 'closed' &&
+      isStopping(vm, endMs) &&
+      endMs - sentMs > UNANSWERED_MS
+    ) {
+      this.#unansweredIds.push(id);
+    }
   }
 
   #checkAnswer(
@@ -177,8 +236,15 @@
     if (outcome === 'held' && wasCalm) {
       this.#broken(id, 'got no answer until long after its deadline');
     }
-    // A relay that stops gracefully owes an answer to what it passed on.
-    const isOwed = wasCalm || (!hasEnded && ledger.runsOf(id).length > 0);
+    // A relay that stops gracefully owes an answer to what it passed on, but for
+    // a request whose time was over when the platform killed the relay.
+    const endMs = performance.now();
+    const isOver =
+      endMs - sentMs > this.#use.timeoutMs - EARLY_MS &&
+      isStopping(vm, endMs) &&
+      endMs >= vm.stopMs + GRACE_MS;
+    const isOwed =
+      wasCalm || (!hasEnded && !isOver && ledger.runsOf(id).length > 0);
     if (outcome === 'closed' && isOwed && vm.process!.isRunning) {
       counts.lost++;
       this.#broken(id, 'was closed without an answer');
@@ -196,7 +262,7 @@
       const timer = setTimeout(() => {
         resolve('held');
         request.destroy();
-      }, DEADLINE_MS + HELD_MS);
+      }, this.#use.deadlineMs + HELD_MS);
       const end = (outcome: Outcome) => {
         clearTimeout(timer);
         resolve(outcome);
@@ -210,7 +276,7 @@
           headers: {
             host: SOAK_HOST,
             [wireHeaders.requestId]: id,
-            [wireHeaders.deadlineMs]: String(DEADLINE_MS),
+            [wireHeaders.deadlineMs]: String(this.#use.deadlineMs),
           },
         },
         response => {
--- a/testing/soak/src/soak_faults.ts
+++ b/testing/soak/src/soak_faults.ts
@@ -46,7 +46,11 @@
   lastRunMs: (workerId: string) => number;
 }
 
-type VmFault = (vm: SoakVm, context: FaultContext) => Promise<void>;
+/** A fault of one VM. */
+export type VmFault = (vm: SoakVm, context: FaultContext) => Promise<void>;
+
+/** A fault of the store or of several VMs. */
+export type MeshFault = (context: FaultContext) => Promise<void>;
 
 /** Length of a fault, in ms. */
 export function faultMs(random: RandomSource): number {
@@ -62,7 +66,11 @@
   return min + random.nextFloat() * (max - min);
 }
 
-async function restart(vm: SoakVm, context: FaultContext): Promise<void> {
+/** Starts a VM's relay again, as the platform does. */
+export async function restart(
+  vm: SoakVm,
+  context: FaultContext,
+): Promise<void> {
   await pause(context.random.nextFloat() * MAX_RESTART_MS);
   context.mesh.startRelay(vm);
 }
@@ -77,6 +85,7 @@
 
 const terminate: VmFault = async (vm, context) => {
   const startMs = performance.now();
+  vm.stopMs = startMs;
   await vm.process!.stop();
   vm.endedMs = performance.now();
   if (vm.endedMs > startMs + GRACE_MS) {
@@ -129,7 +138,8 @@
   }
 };
 
-const together =
+/** Several faults of one VM at the same time. */
+export const together =
   (...faults: VmFault[]): VmFault =>
   async (vm, context) => {
     await Promise.all(faults.map(fault => fault(vm, context)));
@@ -285,6 +295,7 @@
     run: harmLink(vm => vm.storeProxy, 'silent'),
     isWorkerOnly: false,
   },
+  slowWorker: {run: spoil('slow'), isWorkerOnly: true},
   crashWorker: {run: crashWorker, isWorkerOnly: true},
   drainWorker: {run: drainWorker, isWorkerOnly: true},
   limitWorker: {run: limitWorker, isWorkerOnly: true},
--- a/testing/soak/src/soak_mesh.ts
+++ b/testing/soak/src/soak_mesh.ts
@@ -36,8 +36,10 @@
 export const SOAK_SERVICE = 'desk' as ServiceName;
 /** Host of the requests that the configuration routes. */
 export const SOAK_HOST = 'hints.example';
-/** Timeout of the routes; callers grant more, in ms. */
+/** Timeout of the quick routes; callers grant more, in ms. */
 export const ROUTE_TIMEOUT_MS = 1500;
+/** Timeout of the slow routes, in ms; callers grant as much. */
+export const SLOW_ROUTE_TIMEOUT_MS = 4000;
 /** Time between SIGTERM and SIGKILL, in ms. */
 export const GRACE_MS = 6000;
 /** Time after which a leaving worker must get nothing, in ms. */
@@ -60,6 +62,8 @@
   cutMs: number;
   /** When the relay last ended. */
   endedMs: number;
+  /** When SIGTERM was last sent to the relay. */
+  stopMs: number;
   /** Whether a fault is under way, and whether it concerns the relay. */
   isBusy: boolean;
   isHarmed: boolean;
@@ -94,6 +98,8 @@
   /** Last moment of a fault of the store, on `performance.now`, in ms. */
   storeFaultMs = -Infinity;
   version = 0;
+  /** Whether callers use the slow routes. */
+  hasSlowCallers = false;
   readonly #options: SoakMeshOptions;
   #incarnations = 0;
   #storeAddress = '';
@@ -129,9 +135,11 @@
     const config: MeshConfig = {
       version: this.version as ConfigVersion,
       routes: [
-        createRoute('read', true),
-        createRoute('buy', false),
-        createRoute(`v${this.version}`, true),
+        createRoute('read', QUICK_READ),
+        createRoute('buy', QUICK_BUY),
+        createRoute('slowRead', SLOW_READ),
+        createRoute('slowBuy', SLOW_BUY),
+        createRoute(`v${this.version}`, QUICK_READ),
       ],
       limits: {
         maxHeaderBytes: 16384,
@@ -263,6 +271,7 @@
       faultMs: -Infinity,
       cutMs: -Infinity,
       endedMs: -Infinity,
+      stopMs: -Infinity,
       isBusy: false,
       isHarmed: false,
     };
@@ -275,15 +284,32 @@
   return `127.0.20.${index + 1}`;
 }
 
-function createRoute(name: string, isIdempotent: boolean): MeshRoute {
+type RouteKind = Pick<
+  MeshRoute,
+  'isIdempotent' | 'timeoutMs' | 'targetLatencyMs' | 'rank'
+>;
+
+const QUICK_READ: RouteKind = {
+  isIdempotent: true,
+  timeoutMs: ROUTE_TIMEOUT_MS,
+  targetLatencyMs: 400,
+  rank: 2,
+};
+const QUICK_BUY: RouteKind = {...QUICK_READ, isIdempotent: false, rank: 1};
+const SLOW_READ: RouteKind = {
+  isIdempotent: true,
+  timeoutMs: SLOW_ROUTE_TIMEOUT_MS,
+  targetLatencyMs: SLOW_ROUTE_TIMEOUT_MS,
+  rank: 3,
+};
+const SLOW_BUY: RouteKind = {...SLOW_READ, isIdempotent: false};
+
+function createRoute(name: string, kind: RouteKind): MeshRoute {
   return {
+    ...kind,
     name: name as RouteName,
     host: SOAK_HOST,
     pathPrefix: `/${name}/`,
-    isIdempotent,
-    timeoutMs: ROUTE_TIMEOUT_MS,
-    targetLatencyMs: 400,
-    rank: isIdempotent ? 2 : 1,
     maxAttempts: 2,
     shares: [{service: SOAK_SERVICE, weight: 1}],
   };
--- a/testing/soak/src/soak_worker.ts
+++ b/testing/soak/src/soak_worker.ts
@@ -8,10 +8,14 @@
 const WORK_SPREAD_MS = 60; // some requests meet a fault while they run
 const LONG_WORK_SHARE = 0.2;
 const LONG_WORK_SPREAD_MS = 900; // ends before the route's timeout
+const SLOW_WORK_MS = 1000;
+const SLOW_WORK_SPREAD_MS = 3000; // up to the timeout of the slow routes
+const SLOW_PATH = /^\/slow/;
 
-/** How a worker spoils its answers. */
+/** How a worker spoils its answers, or that it is slow on every route. */
 export type WorkerMood =
   | 'sound'
+  | 'slow'
   | 'losing'
   | 'cutting'
   | 'doubling'
@@ -167,7 +171,7 @@
       if (!run.ending || hasRepeated) {
         this.#answer(id, request.url!, response, run);
       }
-    }, this.#workMs());
+    }, this.#workMs(request.url!));
   }
 
   /** Whether an unsound worker refuses a request, to repeat that later. */
@@ -199,8 +203,11 @@
     return true;
   }
 
-  #workMs(): number {
+  #workMs(url: string): number {
     const {random} = this.#options;
+    if (this.mood === 'slow' || SLOW_PATH.test(url)) {
+      return SLOW_WORK_MS + random.nextFloat() * SLOW_WORK_SPREAD_MS;
+    }
     const isLong = random.nextFloat() < LONG_WORK_SHARE;
     const spreadMs = isLong ? LONG_WORK_SPREAD_MS : WORK_SPREAD_MS;
     return MIN_WORK_MS + random.nextFloat() * spreadMs;
@@ -217,6 +224,7 @@
     const isSpoiled = this.#options.random.nextFloat() < SPOILED_SHARE;
     const moods: Record<WorkerMood, () => void> = {
       sound: () => response.end(body),
+      slow: () => response.end(body),
       losing: () => {
         endRun(run, 'spoiled');
         response.destroy();
