--- a/testing/soak/src/soak_caller.ts
+++ b/testing/soak/src/soak_caller.ts
@@ -129,24 +129,27 @@
 
   /** Checks what can only be known at the end; returns the doubled requests. */
   finish(): number {
-    const {ledger, counts, progress} = this.#options;
+    const {ledger, counts} = this.#options;
     for (const id of this.#promisedIds) {
       if (ledger.runsOf(id).length > 0) {
         counts.false_refusals++;
         this.#broken(id, 'ran though its refusal said it had not');
       }
     }
-    const untriedIds = this.#uncertainIds.filter(id => !ledger.hasArrived(id));
-    untriedIds.forEach(id => progress(`request ${id} untried`));
-    counts.untried += untriedIds.length;
-    counts.unanswered += this.#unansweredIds.filter(
-      id => !ledger.hasArrived(id),
-    ).length;
+    counts.untried += this.#countUnsent(this.#uncertainIds, 'untried');
+    counts.unanswered += this.#countUnsent(this.#unansweredIds, 'unanswered');
     const doubled = this.#unsafeIds.filter(id => ledger.runsOf(id).length > 1);
     doubled.forEach(id => this.#broken(id, 'ran more than once'));
     return doubled.length;
   }
 
+  #countUnsent(ids: readonly string[], text: string): number {
+    const {ledger, progress} = this.#options;
+    const unsentIds = ids.filter(id => !ledger.hasArrived(id));
+    unsentIds.forEach(id => progress(`request ${id} ${text}`));
+    return unsentIds.length;
+  }
+
   async #call(): Promise<void> {
     const {counts, random, name} = this.#options;
     const isUnsafe = random.nextFloat() < UNSAFE_SHARE;
--- a/testing/soak/src/soak_mesh.ts
+++ b/testing/soak/src/soak_mesh.ts
@@ -213,6 +213,8 @@
       stdoutFd: logFd,
     });
     closeSync(logFd);
+    void vm.inboundProxy.refuseUntilUp();
+    void vm.process.exited.then(() => vm.inboundProxy.refuseUntilUp());
   }
 
   async close(): Promise<void> {
