--- a/testing/soak/src/loss_check.ts
+++ b/testing/soak/src/loss_check.ts
@@ -49,7 +49,9 @@
   }
   return {
     kind: isStopping(vm, endMs) ? 'lostAtStop' : 'lost',
-    text: describeLoss(request, run, vms[run.vmIndex]!),
+    text:
+      describeLoss(request, run, vms[run.vmIndex]!) +
+      (ledger.runsOf(id).length > 1 ? ', sent again' : ''),
   };
 }
 
--- a/testing/soak/src/planned_stops.ts
+++ b/testing/soak/src/planned_stops.ts
@@ -110,6 +110,10 @@
         random,
       );
       for (const vm of idle.splice(0, WAVE_VMS)) {
+        // Another fault may have begun since the wave was chosen.
+        if (vm.isBusy) {
+          continue;
+        }
         const companion = own[random.nextInt(own.length)]!;
         start(vm, together(companion, stopPlanned));
         await pause(between(random, 0, MAX_SIGNAL_GAP_MS));
