--- a/testing/soak/src/soak_worker.ts
+++ b/testing/soak/src/soak_worker.ts
@@ -11,6 +11,8 @@
 const SLOW_WORK_MS = 1000;
 const SLOW_WORK_SPREAD_MS = 3000; // up to the timeout of the slow routes
 const SLOW_PATH = /^\/slow/;
+const STREAMED_SHARE = 0.3; // of the answers on slow routes begin long before they end
+const LENGTH_SHARE = 0.5; // of these state their length
 
 /** How a worker spoils its answers, or that it is slow on every route. */
 export type WorkerMood =
@@ -166,12 +168,19 @@
     response.once('close', () =>
       endRun(run, response.writableFinished ? 'answered' : 'cut'),
     );
+    const url = request.url!;
+    const workMs = this.#workMs(url);
+    const {random} = this.#options;
+    if (SLOW_PATH.test(url) && random.nextFloat() < STREAMED_SHARE) {
+      const beginMs = workMs * random.nextFloat();
+      setTimeout(() => this.#beginAnswer(id, url, response, run), beginMs);
+    }
     setTimeout(() => {
       this.#running--;
       if (!run.ending || hasRepeated) {
-        this.#answer(id, request.url!, response, run);
+        this.#answer(id, url, response, run);
       }
-    }, this.#workMs(request.url!));
+    }, workMs);
   }
 
   /** Whether an unsound worker refuses a request, to repeat that later. */
@@ -213,14 +222,36 @@
     return MIN_WORK_MS + random.nextFloat() * spreadMs;
   }
 
-  #answer(
+  /** Sends the first part of an answer, with or without a length. */
+  #beginAnswer(
     id: string,
     url: string,
     response: http.ServerResponse,
     run: Run,
   ): void {
+    if (run.ending) {
+      return;
+    }
+    const body = bodyOf(id, url);
     response.setHeader(wireHeaders.workerSignature, sealOf(id));
+    if (this.#options.random.nextFloat() < LENGTH_SHARE) {
+      response.setHeader('Content-Length', body.length);
+    }
+    response.write(body.slice(0, body.length / 2));
+  }
+
+  #answer(
+    id: string,
+    url: string,
+    response: http.ServerResponse,
+    run: Run,
+  ): void {
     const body = bodyOf(id, url);
+    if (response.headersSent) {
+      response.end(body.slice(body.length / 2));
+      return;
+    }
+    response.setHeader(wireHeaders.workerSignature, sealOf(id));
     const isSpoiled = this.#options.random.nextFloat() < SPOILED_SHARE;
     const moods: Record<WorkerMood, () => void> = {
       sound: () => response.end(body),
