test(soak): how requests that no worker got ended

untried and unanswered requests are printed with their status, how long they lasted and the time since SIGTERM.

--- a/testing/soak/src/loss_check.ts
+++ b/testing/soak/src/loss_check.ts
@@ -11,6 +11,8 @@
   id: string;
   /** VM whose relay took it from the caller. */
   vm: SoakVm;
+  /** When SIGTERM was last sent to that relay before the end. */
+  stopMs: number;
   /** Times on `performance.now`, in ms. */
   sentMs: number;
   endMs: number;
@@ -55,11 +57,10 @@
   };
 }
 
-function mayEndAtStop({vm, sentMs}: EndedRequest, run: Run): boolean {
+function mayEndAtStop({stopMs, sentMs}: EndedRequest, run: Run): boolean {
   const workEndMs = run.endMs ?? Infinity;
   return (
-    sentMs <= vm.stopMs + LATEST_SENT_MS &&
-    workEndMs >= vm.stopMs + LAST_SIXTH_MS
+    sentMs <= stopMs + LATEST_SENT_MS && workEndMs >= stopMs + LAST_SIXTH_MS
   );
 }
 
--- a/testing/soak/src/soak_caller.ts
+++ b/testing/soak/src/soak_caller.ts
@@ -99,8 +99,8 @@
   readonly #unsafeIds: string[] = [];
   readonly #promisedIds: string[] = [];
   /** Requests that count if no worker gets them. */
-  readonly #uncertainIds: string[] = [];
-  readonly #unansweredIds: string[] = [];
+  readonly #uncertain: EndedRequest[] = [];
+  readonly #unanswered: EndedRequest[] = [];
   readonly #use: RouteUse;
   #sent = 0;
   #isStopped = false;
@@ -136,18 +136,26 @@
         this.#broken(id, 'ran though its refusal said it had not');
       }
     }
-    counts.untried += this.#countUnsent(this.#uncertainIds, 'untried');
-    counts.unanswered += this.#countUnsent(this.#unansweredIds, 'unanswered');
+    counts.untried += this.#countUnsent(this.#uncertain, 'untried');
+    counts.unanswered += this.#countUnsent(this.#unanswered, 'unanswered');
     const doubled = this.#unsafeIds.filter(id => ledger.runsOf(id).length > 1);
     doubled.forEach(id => this.#broken(id, 'ran more than once'));
     return doubled.length;
   }
 
-  #countUnsent(ids: readonly string[], text: string): number {
+  /** Tells and counts the requests that no worker got. */
+  #countUnsent(requests: readonly EndedRequest[], text: string): number {
     const {ledger, progress} = this.#options;
-    const unsentIds = ids.filter(id => !ledger.hasArrived(id));
-    unsentIds.forEach(id => progress(`request ${id} ${text}`));
-    return unsentIds.length;
+    const unsent = requests.filter(({id}) => !ledger.hasArrived(id));
+    for (const {id, vm, sentMs, endMs, stopMs, end} of unsent) {
+      const stop = Number.isFinite(stopMs)
+        ? `, ${Math.round(endMs - stopMs)} ms after the last SIGTERM`
+        : '';
+      progress(
+        `request ${id} ${text}: ${end} from vm-${vm.index} after ${Math.round(endMs - sentMs)} ms${stop}`,
+      );
+    }
+    return unsent.length;
   }
 
   async #call(): Promise<void> {
@@ -180,7 +188,8 @@
     const end = typeof outcome === 'string' ? outcome : outcome.status;
     const endMs = performance.now();
     const {timeoutMs} = this.#use;
-    const request = {id, vm, sentMs, endMs, timeoutMs, end};
+    const {stopMs} = vm;
+    const request = {id, vm, stopMs, sentMs, endMs, timeoutMs, end};
     this.#noteUnsent(request);
     const loss = findLoss(request, ledger, mesh.vms);
     if ('text' in loss) {
@@ -192,19 +201,20 @@
   }
 
   /** Notes an end that is a pity if no worker gets the request. */
-  #noteUnsent({id, vm, sentMs, endMs, end}: EndedRequest): void {
-    const {mesh} = this.#options;
-    if (mesh.vms.some(other => isCutSince(other, sentMs))) {
+  #noteUnsent(request: EndedRequest): void {
+    const {vm, sentMs, endMs, end} = request;
+    const {vms} = this.#options.mesh;
+    if (vms.some(other => isCutSince(other, sentMs))) {
       return;
     }
     if (UNCERTAIN.has(Number(end))) {
-      this.#uncertainIds.push(id);
+      this.#uncertain.push(request);
     } else if (
       end === 'closed' &&
       isStopping(vm, endMs) &&
       endMs - sentMs > UNANSWERED_MS
     ) {
-      this.#unansweredIds.push(id);
+      this.#unanswered.push(request);
     }
   }
 
