--- a/testing/soak/src/soak_worker.ts
+++ b/testing/soak/src/soak_worker.ts
@@ -8,10 +8,16 @@
 const WORK_SPREAD_MS = 60; // some requests meet a fault while they run
 const LONG_WORK_SHARE = 0.2;
 const LONG_WORK_SPREAD_MS = 900; // ends before the route's timeout
+const SLOW_WORK_MS = 1000;
+const SLOW_WORK_SPREAD_MS = 3000; // up to the timeout of the slow routes
+const SLOW_PATH = /^\/slow/;
+const STREAMED_SHARE = 0.3; // of the answers on slow routes begin long before they end
+const LENGTH_SHARE = 0.5; // of these state their length
 
-/** How a worker spoils its answers. */
+/** How a worker spoils its answers, or that it is slow on every route. */
 export type WorkerMood =
   | 'sound'
+  | 'slow'
   | 'losing'
   | 'cutting'
   | 'doubling'
@@ -162,12 +168,19 @@
     response.once('close', () =>
       endRun(run, response.writableFinished ? 'answered' : 'cut'),
     );
+    const url = request.url!;
+    const workMs = this.#workMs(url);
+    const {random} = this.#options;
+    if (SLOW_PATH.test(url) && random.nextFloat() < STREAMED_SHARE) {
+      const beginMs = workMs * random.nextFloat();
+      setTimeout(() => this.#beginAnswer(id, url, response, run), beginMs);
+    }
     setTimeout(() => {
       this.#running--;
       if (!run.ending || hasRepeated) {
-        this.#answer(id, request.url!, response, run);
+        this.#answer(id, url, response, run);
       }
-    }, this.#workMs());
+    }, workMs);
   }
 
   /** Whether an unsound worker refuses a request, to repeat that later. */
@@ -199,24 +212,50 @@
     return true;
   }
 
-  #workMs(): number {
+  #workMs(url: string): number {
     const {random} = this.#options;
+    if (this.mood === 'slow' || SLOW_PATH.test(url)) {
+      return SLOW_WORK_MS + random.nextFloat() * SLOW_WORK_SPREAD_MS;
+    }
     const isLong = random.nextFloat() < LONG_WORK_SHARE;
     const spreadMs = isLong ? LONG_WORK_SPREAD_MS : WORK_SPREAD_MS;
     return MIN_WORK_MS + random.nextFloat() * spreadMs;
   }
 
-  #answer(
+  /** Sends the first part of an answer, with or without a length. */
+  #beginAnswer(
     id: string,
     url: string,
     response: http.ServerResponse,
     run: Run,
   ): void {
+    if (run.ending) {
+      return;
+    }
+    const body = bodyOf(id, url);
     response.setHeader(wireHeaders.workerSignature, sealOf(id));
+    if (this.#options.random.nextFloat() < LENGTH_SHARE) {
+      response.setHeader('Content-Length', body.length);
+    }
+    response.write(body.slice(0, body.length / 2));
+  }
+
+  #answer(
+    id: string,
+    url: string,
+    response: http.ServerResponse,
+    run: Run,
+  ): void {
     const body = bodyOf(id, url);
+    if (response.headersSent) {
+      response.end(body.slice(body.length / 2));
+      return;
+    }
+    response.setHeader(wireHeaders.workerSignature, sealOf(id));
     const isSpoiled = this.#options.random.nextFloat() < SPOILED_SHARE;
     const moods: Record<WorkerMood, () => void> = {
       sound: () => response.end(body),
+      slow: () => response.end(body),
       losing: () => {
         endRun(run, 'spoiled');
         response.destroy();
