fix(daemon): finish the drain after a further signal

Callers saw: their requests in flight, also those that may not be repeated, ended with a closed connection when SIGTERM or SIGINT came a second time during the drain. Cause: the handlers were registered with once, so the second signal met no handler and Node.js ended the process. Evidence: the test of further signals in planned_stop.test.ts, which received nothing in place of the response. The handlers now stay; close already returns the first promise, so further signals neither end nor shorten the drain. The test passes.

--- a/daemon/main/src/bin.ts
+++ b/daemon/main/src/bin.ts
@@ -13,8 +13,9 @@
   const {settings} = command.parse().opts<{settings: string}>();
   const daemon = new Daemon(loadSettings(settings));
   const stop = () => void daemon.close();
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+  // The default action for a further signal would end the drain at once.
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
   process.on('SIGHUP', () => daemon.reloadKeys(() => loadSettings(settings)));
   try {
     await daemon.start();
