fix(proxy): reset a connection whose response without chunks is broken off

Callers saw: a streamed response to an HTTP/1.0 request that was broken off at the end of the grace looked complete. Cause: without chunks and length the end of the connection delimits the body, and the daemon closed it like a complete response. Evidence: the HTTP/1.0 test of planned_stop.test.ts, which saw neither a reset nor chunks; the HTTP/1.1 test passed before. Such a connection is now reset, as the relay does. A response that its worker truncates takes the same way.

--- a/calls/proxy/src/call.ts
+++ b/calls/proxy/src/call.ts
@@ -20,7 +20,7 @@
 import type {CallDependencies} from './call_dependencies.js';
 import {chooseOwner} from './choose_owner.js';
 import {PeerAttempt} from './peer_attempt.js';
-import {forwardResponse} from './forward_response.js';
+import {breakOff, forwardResponse} from './forward_response.js';
 import {recordWorkerFailure} from './record_worker_failure.js';
 import {recordWorkerLoad} from './record_worker_load.js';
 import {sendRefusal} from './send_refusal.js';
@@ -312,7 +312,7 @@
       return;
     }
     this.#recordFailure({reason: 'response_incomplete'});
-    this.#options.res.destroy();
+    breakOff(this.#options.res);
     this.#finish('broken');
   }
 
@@ -333,7 +333,7 @@
       this.#recordFailure({reason});
     }
     if (res.headersSent) {
-      res.destroy();
+      breakOff(res);
       this.#finish('broken');
       return;
     }
--- a/calls/proxy/src/forward_response.ts
+++ b/calls/proxy/src/forward_response.ts
@@ -45,6 +45,17 @@
   }
 }
 
+/**
+ * Ends a response that is incomplete. If only the end of the connection
+ * delimits its body, as for HTTP/1.0, a reset shows that it is incomplete.
+ */
+export function breakOff(res: ServerResponse): void {
+  if (res.headersSent && !res.chunkedEncoding) {
+    res.socket?.resetAndDestroy();
+  }
+  res.destroy();
+}
+
 function forwardBuffered(options: ForwardResponseOptions): void {
   const {response, res, headers} = options;
   const chunks: Buffer[] = [];
