fix(proxy): close a leaving daemon's connection behind its last response

Callers that pipeline saw: the first response of a draining daemon closed the connection, and the next request, which the worker ran, got no answer. Cause: each response of a leaving daemon bore Connection: close, also with later requests of the same connection in flight. Evidence: the pipelining test of planned_stop.test.ts, which got the first response only.

--- a/calls/proxy/src/call.ts
+++ b/calls/proxy/src/call.ts
@@ -390,9 +390,12 @@
   }
 
   #addLeavingHeaders(headers: OutgoingHttpHeaders): OutgoingHttpHeaders {
-    if (this.#options.deps.blackboard.read('lifecycle') === 'leaving') {
+    const {deps, data} = this.#options;
+    if (deps.blackboard.read('lifecycle') === 'leaving') {
       headers[callHeaders.leaving] = '1';
-      headers.connection = 'close';
+      if (deps.latestRequests.isLatest(data.req)) {
+        headers.connection = 'close';
+      }
     }
     return headers;
   }
--- a/calls/proxy/src/call_dependencies.ts
+++ b/calls/proxy/src/call_dependencies.ts
@@ -9,6 +9,7 @@
 import type {DaemonBlackboard} from '@carobseam/core.blackboard';
 import type {Logger} from '@carobseam/core.logger';
 import type {Metrics} from '@carobseam/core.metrics';
+import type {LatestRequests} from '@carobseam/core.net';
 import type {
   Clock,
   DataCentreName,
@@ -52,6 +53,7 @@
   readonly loadBalancer: LoadBalancer;
   readonly retryDecider: RetryDecider;
   readonly peerAgent: Agent;
+  readonly latestRequests: LatestRequests;
   /** Creates the identifier of a call that is forwarded to a peer. */
   createCallId(): string;
 }
--- a/calls/proxy/src/call_server.ts
+++ b/calls/proxy/src/call_server.ts
@@ -10,7 +10,7 @@
   refusalDefinitions,
   type RefusalReason,
 } from '@carobseam/calls.types';
-import {startListening} from '@carobseam/core.net';
+import {LatestRequests, startListening} from '@carobseam/core.net';
 import type {Controller, Timer, VmId} from '@carobseam/core.types';
 import {
   createServer,
@@ -59,6 +59,7 @@
       loadBalancer: new LoadBalancer(options),
       retryDecider: new RetryDecider(options),
       peerAgent: this.#peerAgent,
+      latestRequests: new LatestRequests(),
       createCallId: () => `${options.vmId}.${this.#callCount++}`,
     };
     this.#server = createServer((req, res) => this.#handleRequest(req, res));
@@ -187,7 +188,8 @@
 
   #handleRequest(req: IncomingMessage, res: ServerResponse): void {
     const {headers} = req;
-    const {blackboard, vmId} = this.#dependencies;
+    const {blackboard, vmId, latestRequests} = this.#dependencies;
+    latestRequests.record(req);
     if (headers[callHeaders.probe] !== undefined) {
       this.#respondToProbe(String(headers[callHeaders.probe]), res);
       return;
--- a/core/net/src/index.ts
+++ b/core/net/src/index.ts
@@ -1,2 +1,3 @@
+export * from './latest_requests.js';
 export * from './split_address.js';
 export * from './start_listening.js';
