fix(proxy): read the rest of an upload before a refusal closes its connection

Callers saw: a reset in place of the refusal when a leaving daemon refused a request whose body was still being sent, so they could not know that it had not run. Cause: the response closed the connection with unread data, which TCP answers with a reset that discards the response. Evidence: the upload test of planned_stop.test.ts, which received nothing. The refusal is now sent at once and the connection closed when the body has been read, after 2 s at the latest.

--- a/calls/proxy/src/send_refusal.ts
+++ b/calls/proxy/src/send_refusal.ts
@@ -4,7 +4,14 @@
   refusalDefinitions,
   type RefusalReason,
 } from '@carobseam/calls.types';
-import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
+import type {
+  IncomingMessage,
+  OutgoingHttpHeaders,
+  ServerResponse,
+} from 'node:http';
+
+/** Longest time for which the rest of a refused upload is read, ms. */
+const UPLOAD_REST_TIMEOUT_MS = 2000;
 
 /** Sends a refusal with its status, headers and JSON body. */
 export function sendRefusal(
@@ -25,5 +32,30 @@
     [callHeaders.refusal]: kind,
     [callHeaders.reason]: reason,
   });
-  res.end(body);
+  if (headers.connection === 'close' && isUploading(res.req)) {
+    res.write(body);
+    endAfterUpload(res);
+  } else {
+    res.end(body);
+  }
+}
+
+function isUploading({complete, headers}: IncomingMessage): boolean {
+  const {'content-length': length = '0'} = headers;
+  return (
+    !complete && (length !== '0' || headers['transfer-encoding'] !== undefined)
+  );
+}
+
+/**
+ * Ends a response once the request has been received. A connection that is
+ * closed with unread data is reset, and the caller may lose the response.
+ */
+function endAfterUpload(res: ServerResponse): void {
+  const {req} = res;
+  const end = () => void res.end();
+  const timer = setTimeout(end, UPLOAD_REST_TIMEOUT_MS);
+  res.once('close', () => clearTimeout(timer));
+  req.once('end', end);
+  req.resume();
 }
