--- a/calls/proxy/test/proxy_harness.ts
+++ b/calls/proxy/test/proxy_harness.ts
@@ -166,6 +166,8 @@
   headers?: Record<string, string>;
   body?: string | Buffer;
   onRequest?: (request: http.ClientRequest) => void;
+  /** Connections of the caller; a new one by default. */
+  agent?: http.Agent;
 }
 
 /** Sends one request and reads its whole response. */
@@ -174,9 +176,9 @@
   options: SendOptions = {},
 ): Promise<CallResult> {
   return new Promise(resolve => {
-    const {method, path = '/hints/reveal/1', headers} = options;
+    const {method, path = '/hints/reveal/1', headers, agent = false} = options;
     const request = http.request({
-      ...{host: ADDRESS, port, method, path, headers, agent: false},
+      ...{host: ADDRESS, port, method, path, headers, agent},
     });
     const fail = (error: Error) =>
       resolve({headers: {}, body: '', error: error.message});
--- a/daemon/main/test/planned_stop.test.ts
+++ b/daemon/main/test/planned_stop.test.ts
@@ -19,6 +19,7 @@
   'SIGINT',
 ] as const;
 
+const ANNOUNCEMENT_MS = 300; // then the notice of 500 ms begins
 const IDS = Array.from({length: 60}, (_, index) => index);
 
 const isAnswered = ({received}: CallerConnection) =>
@@ -171,7 +172,7 @@
       await until(() => COMPLETE_RESPONSE.test(kept.received()));
       const answeredLength = kept.received().length;
       daemon.process.signal('SIGTERM');
-      await sleep(100);
+      await sleep(ANNOUNCEMENT_MS + 200);
       daemon.process.signal('SIGSTOP');
       kept.socket.write(requestText('b'));
       const late = await daemon.connect();
