fix(proxy): read what has arrived before a leaving daemon closes its server

Callers saw: a reset with no answer when a daemon that had been held up closed its connections at the end of its notice, though their requests had come before; they could not know that these had not run. Cause: after a delay of the event loop the timer of the notice runs before waiting connections are accepted and read. Evidence: shutdown.test.ts blocks the event loop over the end of the notice; the kept connection and all 20 new ones were reset. The daemon now closes its server after turns that read nothing more, within 1 s, and refuses what it reads as leaving.

--- a/calls/proxy/src/call_server.ts
+++ b/calls/proxy/src/call_server.ts
@@ -19,6 +19,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import {setImmediate} from 'node:timers/promises';
 import {Call} from './call.js';
 import type {ProbeAnswer} from './probes.js';
 import {readCall} from './read_call.js';
@@ -33,6 +34,8 @@
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 const LOAD_PUBLISH_INTERVAL_MS = 200;
 const CLOSE_POLL_MS = 20;
+/** Bound for calls that arrive without a pause. */
+const MAX_LATE_READS_MS = 1000;
 
 /**
  * HTTP server of a daemon. It accepts calls from callers and peers and runs
@@ -48,6 +51,8 @@
   readonly #forwardedCalls = new Map<string, Call>();
   readonly #stopObservers: (() => void)[] = [];
   #callCount = 0;
+  /** Connections and requests that have arrived. */
+  #arrivalCount = 0;
   #loadTimer?: Timer;
   #closePromise?: Promise<void>;
   #onAllCallsFinished?: () => void;
@@ -63,6 +68,7 @@
       createCallId: () => `${options.vmId}.${this.#callCount++}`,
     };
     this.#server = createServer((req, res) => this.#handleRequest(req, res));
+    this.#server.on('connection', () => this.#arrivalCount++);
     this.#server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
     // The default of 300 s would abort long uploads; deadlines bound them.
     this.#server.requestTimeout = 0;
@@ -103,6 +109,7 @@
       // connection does not.
       const noticeMs = leavingNoticeMs ?? DEFAULT_LEAVING_NOTICE_MS;
       await new Promise<void>(done => clock.setTimer(noticeMs, done));
+      await this.#readWaitingCalls();
     }
     const closed = new Promise<void>(done => this.#server.close(() => done()));
     this.#server.closeIdleConnections();
@@ -115,6 +122,24 @@
     localWorker.close();
   }
 
+  /**
+   * Waits until turns of the event loop read nothing more. After a delay, timers
+   * run before waiting connections are accepted, one in a turn, and read.
+   */
+  async #readWaitingCalls(): Promise<void> {
+    const {clock} = this.#dependencies;
+    const endMs = clock.monotonicMs() + MAX_LATE_READS_MS;
+    let arrivalCount: number;
+    do {
+      arrivalCount = this.#arrivalCount;
+      await setImmediate();
+      await setImmediate();
+    } while (
+      arrivalCount !== this.#arrivalCount &&
+      clock.monotonicMs() < endMs
+    );
+  }
+
   async #waitForCalls(timeoutMs: number): Promise<void> {
     if (this.#calls.size === 0) {
       return;
@@ -190,6 +215,7 @@
     const {headers} = req;
     const {blackboard, vmId, latestRequests} = this.#dependencies;
     latestRequests.record(req);
+    this.#arrivalCount++;
     if (headers[callHeaders.probe] !== undefined) {
       this.#respondToProbe(String(headers[callHeaders.probe]), res);
       return;
