test(relay): planned stop of the relay process

The relay runs as a process with a store, alone, as entry of a hop and as its end, and gets its signals.

The connections of callers that write their own bytes move to the fixtures.

--- a/daemon/main/test/planned_stop.test.ts
+++ b/daemon/main/test/planned_stop.test.ts
@@ -1,9 +1,8 @@
+import {until, type RawConnection} from '@carobseam/testing.fixtures';
 import {expect} from 'chai';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-  type CallerConnection,
   requestText,
-  until,
   withDaemon,
   type ReceivedRequest,
 } from './stopped_daemon.js';
@@ -22,7 +21,7 @@
 const ANNOUNCEMENT_MS = 300; // then the notice of 500 ms begins
 const IDS = Array.from({length: 60}, (_, index) => index);
 
-const isAnswered = ({received}: CallerConnection) =>
+const isAnswered = ({received}: RawConnection) =>
   COMPLETE_RESPONSE.test(received());
 
 const respondAfter =
@@ -55,7 +54,7 @@
     await withDaemon(
       respondAfter(100),
       async daemon => {
-        const connections: CallerConnection[] = [];
+        const connections: RawConnection[] = [];
         const send = async (id: string) => {
           const connection = await daemon.connect();
           connection.socket.write(requestText(id, {path: '/buy'}));
@@ -150,14 +149,12 @@
       await withDaemon(
         stream,
         async daemon => {
-          const {socket, received, closed} = await daemon.connect();
-          let isReset = false;
-          socket.on('error', () => (isReset = true));
+          const {socket, received, closed, isReset} = await daemon.connect();
           socket.write(requestText('a', {version}));
           await until(() => received().includes('part'));
           daemon.process.signal('SIGTERM');
           await closed;
-          expect(isReset || /chunked/i.test(received())).to.equal(true);
+          expect(isReset() || /chunked/i.test(received())).to.equal(true);
           expect(received()).not.to.match(/\r\n0\r\n\r\n$/);
         },
         {settings: {shutdownTimeoutMs: 500}},
--- a/daemon/main/test/stopped_daemon.ts
+++ b/daemon/main/test/stopped_daemon.ts
@@ -1,6 +1,7 @@
 import {listFilesToPublish} from '@carobseam/config.declarations';
 import type {DataCentreName, ServiceName, VmId} from '@carobseam/core.types';
 import {
+  connectRaw,
   LocalFleet,
   makeDeclarations,
   makePolicy,
@@ -9,15 +10,14 @@
   makeVersion,
   type PlannedVm,
   type ProcessHandle,
+  type RawConnection,
+  until,
 } from '@carobseam/testing.fixtures';
 import http from 'node:http';
-import net from 'node:net';
-import {setTimeout as sleep} from 'node:timers/promises';
 
 const HOST = '127.0.0.1';
 const PORTS_PER_TEST = 8;
 const START_TIMEOUT_MS = 8000;
-const UNTIL_TIMEOUT_MS = 8000;
 const READY_ID = 'ready'; // of requests that are sent until the daemon serves
 
 let nextPort = 21_000 + (process.pid % 300) * PORTS_PER_TEST;
@@ -29,20 +29,13 @@
   response: http.ServerResponse;
 }
 
-/** A caller's connection and what has been received on it. */
-export interface CallerConnection {
-  socket: net.Socket;
-  closed: Promise<unknown>;
-  received: () => string;
-}
-
 /** A daemon that runs as a process, with a worker in the thread of the test. */
 export interface StoppedDaemon {
   process: ProcessHandle;
   port: number;
   /** Requests that the worker has received from the test. */
   requests: ReceivedRequest[];
-  connect: () => Promise<CallerConnection>;
+  connect: () => Promise<RawConnection>;
   /** Waits until the worker has received a number of requests. */
   untilReceived: (count: number) => Promise<void>;
   exited: () => Promise<void>;
@@ -108,7 +101,7 @@
       process: daemon,
       port: vm.callersPort,
       requests,
-      connect: () => connect(vm.callersPort),
+      connect: () => connectRaw(HOST, vm.callersPort),
       untilReceived: count => until(() => requests.length >= count),
       exited: () => until(() => !daemon.isRunning),
     });
@@ -133,37 +126,13 @@
   ].join('\r\n');
 }
 
-/** Polls a condition until it holds or a time limit has passed. */
-export async function until(
-  condition: () => boolean | Promise<boolean>,
-): Promise<void> {
-  const endMs = performance.now() + UNTIL_TIMEOUT_MS;
-  while (performance.now() < endMs && !(await condition())) {
-    await sleep(10);
-  }
-}
-
 async function isServed(port: number, path: string): Promise<boolean> {
-  const {socket, closed, received} = await connect(port);
+  const {socket, closed, received} = await connectRaw(HOST, port);
   socket.write(requestText(READY_ID, {path, framing: 'connection: close'}));
   await closed;
   return received().startsWith('HTTP/1.1 200');
 }
 
-async function connect(port: number): Promise<CallerConnection> {
-  const socket = net.connect({host: HOST, port});
-  const chunks: Buffer[] = [];
-  socket.on('data', chunk => chunks.push(chunk));
-  socket.on('error', () => {}); // a reset shows in the missing response
-  const closed = new Promise(resolve => socket.once('close', resolve));
-  await Promise.race([
-    new Promise(resolve => socket.once('connect', resolve)),
-    closed,
-  ]);
-  const received = () => Buffer.concat(chunks).toString('latin1');
-  return {socket, closed, received};
-}
-
 function planVm(): PlannedVm {
   nextPort += PORTS_PER_TEST;
   return {
