fix(relay): close a draining relay's connection behind its last response

Callers that pipeline saw: a draining relay answered a request with Connection: close and closed the connection, though the worker was running a later request of the same connection, which got no answer; a request sent while such a response was in transfer was passed on and not answered either (LOST). Cause: each response of a draining relay bore Connection: close, and requests behind it were served. Evidence: the tests of pipelined requests (own worker and entry relay) and of a request behind a closing response in planned_stop.test.ts. Now only the response to the latest request of a connection closes it, and requests that come behind its headers are not passed on.

--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -2,8 +2,10 @@
 import {LATE_CLASS, priorityClassOf} from '@carobseam/calls.worker_queue';
 import {pickService, type MeshRoute} from '@carobseam/config.mesh';
 import type {LogFields} from '@carobseam/core.logger';
+import {LatestRequests} from '@carobseam/core.net';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {DispatchResult} from './dispatched_request.js';
 import {
   isStreamed,
@@ -42,6 +44,9 @@
 export class OutboundHandler {
   readonly #context: RelayContext;
   readonly #abortCallbacks = new Set<() => void>();
+  readonly #latestRequests = new LatestRequests();
+  /** Connections that end after a response whose headers are sent. */
+  readonly #closingSockets = new WeakSet<Socket>();
   #activeCount = 0;
 
   readonly #readDelays = new WeakMap<IncomingMessage, number>();
@@ -64,6 +69,11 @@
   }
 
   handle(request: IncomingMessage, response: ServerResponse): void {
+    if (this.#closingSockets.has(request.socket)) {
+      request.resume(); // it crossed the close and cannot be answered
+      return;
+    }
+    this.#latestRequests.record(request);
     this.#activeCount++;
     response.sendDate = false;
     onceClosed(request, response, () => this.#activeCount--);
@@ -245,7 +255,7 @@
       clock: this.#context.clock,
       random: this.#context.random,
       refuse: (status, headers) => this.#refuse(response, status, headers),
-      extraHeaders: this.#connectionHeaders(),
+      extraHeaders: this.#connectionHeaders(request),
       recordEnd: (outcome, fields) =>
         this.#recordEnd(request, arrivedMs, outcome, {
           route: route.name,
@@ -330,15 +340,22 @@
     }
     response.writeHead(status, [
       ...headers,
-      ...this.#connectionHeaders(),
+      ...this.#connectionHeaders(response.req),
       'Content-Length',
       '0',
     ]);
     response.end();
   }
 
-  #connectionHeaders(): string[] {
-    return this.#context.isDraining() ? ['Connection', 'close'] : [];
+  #connectionHeaders(request: IncomingMessage): string[] {
+    if (
+      !this.#context.isDraining() ||
+      !this.#latestRequests.isLatest(request)
+    ) {
+      return [];
+    }
+    this.#closingSockets.add(request.socket);
+    return ['Connection', 'close'];
   }
 
   #recordEnd(
