fix(relay): read the rest of an upload before a refusal closes its connection

Callers saw: a reset in place of the 503 when a relay late in its grace refused a request whose body was still being sent. Cause: the response closed the connection with unread data, which TCP answers with a reset that discards the response. Evidence: the upload test of planned_stop.test.ts, which received nothing.

--- a/calls/proxy/src/send_refusal.ts
+++ b/calls/proxy/src/send_refusal.ts
@@ -4,14 +4,8 @@
   refusalDefinitions,
   type RefusalReason,
 } from '@carobseam/calls.types';
-import type {
-  IncomingMessage,
-  OutgoingHttpHeaders,
-  ServerResponse,
-} from 'node:http';
-
-/** Longest time for which the rest of a refused upload is read, ms. */
-const UPLOAD_REST_TIMEOUT_MS = 2000;
+import {endAfterUpload} from '@carobseam/core.net';
+import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
 
 /** Sends a refusal with its status, headers and JSON body. */
 export function sendRefusal(
@@ -32,30 +26,9 @@
     [callHeaders.refusal]: kind,
     [callHeaders.reason]: reason,
   });
-  if (headers.connection === 'close' && isUploading(res.req)) {
-    res.write(body);
-    endAfterUpload(res);
+  if (headers.connection === 'close') {
+    endAfterUpload(res, body);
   } else {
     res.end(body);
   }
 }
-
-function isUploading({complete, headers}: IncomingMessage): boolean {
-  const {'content-length': length = '0'} = headers;
-  return (
-    !complete && (length !== '0' || headers['transfer-encoding'] !== undefined)
-  );
-}
-
-/**
- * Ends a response once the request has been received. A connection that is
- * closed with unread data is reset, and the caller may lose the response.
- */
-function endAfterUpload(res: ServerResponse): void {
-  const {req} = res;
-  const end = () => void res.end();
-  const timer = setTimeout(end, UPLOAD_REST_TIMEOUT_MS);
-  res.once('close', () => clearTimeout(timer));
-  req.once('end', end);
-  req.resume();
-}
--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -2,7 +2,7 @@
 import {LATE_CLASS, priorityClassOf} from '@carobseam/calls.worker_queue';
 import {pickService, type MeshRoute} from '@carobseam/config.mesh';
 import type {LogFields} from '@carobseam/core.logger';
-import {LatestRequests} from '@carobseam/core.net';
+import {endAfterUpload, LatestRequests} from '@carobseam/core.net';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
@@ -338,13 +338,19 @@
     if (response.headersSent || response.destroyed) {
       return;
     }
-    response.writeHead(status, [
+    const connectionHeaders = this.#connectionHeaders(response.req);
+    const allHeaders = [
       ...headers,
-      ...this.#connectionHeaders(response.req),
+      ...connectionHeaders,
       'Content-Length',
       '0',
-    ]);
-    response.end();
+    ];
+    response.writeHead(status, allHeaders);
+    if (connectionHeaders.length > 0) {
+      endAfterUpload(response);
+    } else {
+      response.end();
+    }
   }
 
   #connectionHeaders(request: IncomingMessage): string[] {
