test(relay): upload that is not complete when the relay exits

Fails: guards against closing a connection without an answer whose body is still uploaded at the exit: expected '' to match /^HTTP\/1.1 503 [^]*Retry-After: /

--- a/daemon/relay/test/planned_stop.test.ts
+++ b/daemon/relay/test/planned_stop.test.ts
@@ -201,4 +201,15 @@
       expect(relay.requests).to.have.length(1);
     });
   });
+
+  it('guards against closing a connection without an answer whose body is still uploaded at the exit', async () => {
+    await withStoppedRelay('own worker', respond, async relay => {
+      const {socket, received, closed} = await relay.connect();
+      socket.write(requestText('a', {framing: 'Content-Length: 2'}) + 'x');
+      relay.process.signal('SIGTERM');
+      await closed;
+      expect(received()).to.match(/^HTTP\/1.1 503 [^]*Retry-After: /);
+      expect(relay.requests).to.have.length(0);
+    });
+  });
 });
