--- a/calls/proxy/src/send_refusal.ts
+++ b/calls/proxy/src/send_refusal.ts
@@ -4,6 +4,7 @@
   refusalDefinitions,
   type RefusalReason,
 } from '@carobseam/calls.types';
+import {endAfterUpload} from '@carobseam/core.net';
 import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
 
 /** Sends a refusal with its status, headers and JSON body. */
@@ -25,5 +26,9 @@
     [callHeaders.refusal]: kind,
     [callHeaders.reason]: reason,
   });
-  res.end(body);
+  if (headers.connection === 'close') {
+    endAfterUpload(res, body);
+  } else {
+    res.end(body);
+  }
 }
