fix(relay): refuse requests whose bodies are incomplete at the exit

Callers saw: a closed connection without an answer when their upload was not complete at the end of the grace, though the request had not run. Cause: only dispatched requests were answered at the exit. Evidence: the test of an upload at the exit in planned_stop.test.ts, which received nothing. Such a request is now refused with 503 and Retry-After.

--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -6,6 +6,7 @@
 import {wireHeaders} from '@carobseam/platform.adapter';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {Readable} from 'node:stream';
 import type {DispatchResult} from './dispatched_request.js';
 import {
   isStreamed,
@@ -118,7 +119,13 @@
     if (refuseIfLeaving()) {
       return;
     }
-    const body = await readBody(request, state.config!.limits.maxBodyBytes);
+    let body: Buffer | Readable;
+    this.#abortCallbacks.add(refuseIfLeaving);
+    try {
+      body = await readBody(request, state.config!.limits.maxBodyBytes);
+    } finally {
+      this.#abortCallbacks.delete(refuseIfLeaving);
+    }
     // The rest of the body may have arrived long after the headers.
     if (refuseIfLeaving()) {
       return;
