fix(relay): keep a worker's rate limit in the refusal at the exit

The refusal that ends a hop connection lacked the statement of the worker, and a sender takes a report without it as the end of a rate limit. Both refusals are built from the same headers now.

--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -277,40 +277,42 @@
 
   /** Encodes the refusal of a request that was not read. */
   #encodeRefusal(): string {
-    const verdict = encodeHopResponse({
-      ...RELAY_LEAVES,
-      load: {...this.#options.workerGate.load, isLeaving: true},
-    });
-    return [
-      'HTTP/1.1 503 Service Unavailable',
-      `${hopHeaders.response}: ${verdict}`,
-      'Connection: close',
-      'Content-Length: 0',
-      '\r\n',
-    ].join('\r\n');
+    const headers = this.#hopResponseHeaders(RELAY_LEAVES);
+    headers.push('Connection', 'close', 'Content-Length', '0');
+    const lines = ['HTTP/1.1 503 Service Unavailable'];
+    for (let index = 0; index < headers.length; index += 2) {
+      lines.push(`${headers[index]}: ${headers[index + 1]}`);
+    }
+    return `${lines.join('\r\n')}\r\n\r\n`;
   }
 
-  #respond(
-    request: IncomingMessage,
-    response: ServerResponse,
-    result: GateResult,
-  ): void {
+  /** Verdict, load and statement, as alternating names and values. */
+  #hopResponseHeaders(result: GateResult): string[] {
     const {workerGate, isDraining} = this.#options;
-    const load = workerGate.load;
+    const {load} = workerGate;
     const verdict = encodeHopResponse({
       verdict: result.verdict,
       reason: result.reason,
       retryAfterMs: result.retryAfterMs,
       load: {...load, isLeaving: load.isLeaving || isDraining()},
     });
-    if (result.verdict !== 'answered') {
-      this.#recordDecision(request, result, load, {reason: result.reason});
-    }
-    const hopResponseHeaders = [
+    return [
       hopHeaders.response,
       verdict,
       ...encodeHopStatement(load, result.isWorkerLeaving === true),
     ];
+  }
+
+  #respond(
+    request: IncomingMessage,
+    response: ServerResponse,
+    result: GateResult,
+  ): void {
+    if (result.verdict !== 'answered') {
+      const {load} = this.#options.workerGate;
+      this.#recordDecision(request, result, load, {reason: result.reason});
+    }
+    const hopResponseHeaders = this.#hopResponseHeaders(result);
     if (result.response) {
       sendResponse(response, result.response, hopResponseHeaders);
       return;
