fix(relay): limit the expiry of requests submitted after the begin of a drain

The gate limited only what was queued when the drain began; repeats and hedges of requests that were taken before it still had their own deadline and could be started shortly before the exit.

--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -120,6 +120,7 @@
   readonly #running = new Set<PendingRequest>();
   readonly #statements = new WorkerStatements();
   #worker?: MeshWorker;
+  #exitMs = Infinity;
   #drainTimer?: Timer;
 
   constructor(options: WorkerGateOptions) {
@@ -193,6 +194,7 @@
     const result = new Promise<GateResult>(res => (resolve = res));
     const pending: PendingRequest = {
       ...request.scheduling,
+      expiresAtMs: Math.min(request.scheduling.expiresAtMs, this.#exitMs),
       request,
       resolve,
       submittedMs: this.#options.clock.monotonicMs(),
@@ -215,11 +217,12 @@
   }
 
   /**
-   * Starts no queued request that cannot complete before the relay exits.
+   * Starts no request any more that cannot complete before the relay exits.
    *
    * @param exitMs when requests in flight end, on the monotonic clock.
    */
   prepareExit(exitMs: number): void {
+    this.#exitMs = exitMs;
     this.#queue.limitExpiry(exitMs);
   }
 
