fix(relay): take the last check but one as the bound for the sending of a signal

A punctual check does not show that the event loop was idle: one long turn that ends just after the check is due hides a signal that waited through it.

--- a/daemon/relay/src/event_loop_monitor.ts
+++ b/daemon/relay/src/event_loop_monitor.ts
@@ -3,7 +3,6 @@
 import type {Clock, Timer} from '@carobseam/core.types';
 
 const CHECK_INTERVAL_MS = 250; // a timer every 100 ms takes 2 ms of processor time a second
-const PUNCTUAL_MS = 50; // later than this, the event loop was busy when the timer was due
 const LOGGED_DELAY_MS = 200; // one interval between the interim responses of a hop
 const MS_PER_S = 1000;
 
@@ -23,25 +22,23 @@
 export class EventLoopMonitor {
   readonly #options: EventLoopMonitorOptions;
   #timer?: Timer;
-  /** When the last check ran, on the monotonic clock, in ms. */
+  /** When the last check and the one before ran, on the monotonic clock, in ms. */
   #checkedMs: number;
-  /** The latest moment before which nothing can have waited to be read. */
-  #idleUntilMs: number;
+  #previouslyCheckedMs: number;
 
   constructor(options: EventLoopMonitorOptions) {
     this.#options = options;
     this.#checkedMs = options.clock.monotonicMs();
-    this.#idleUntilMs = this.#checkedMs;
+    this.#previouslyCheckedMs = this.#checkedMs;
   }
 
   /**
    * The earliest time at which a signal that is handled now can have been sent,
    * on the monotonic clock, in ms. The event loop handles signals between two
-   * checks, so it was sent after the last check but one, and after the last check
-   * if that was punctual.
+   * checks, so it was sent after the last check but one.
    */
   get earliestSignalMs(): number {
-    return this.#idleUntilMs;
+    return this.#previouslyCheckedMs;
   }
 
   start(): void {
@@ -50,7 +47,7 @@
     this.#timer = clock.setTimer(CHECK_INTERVAL_MS, () => {
       const nowMs = clock.monotonicMs();
       const delayMs = Math.max(0, nowMs - dueMs);
-      this.#idleUntilMs = delayMs < PUNCTUAL_MS ? nowMs : this.#checkedMs;
+      this.#previouslyCheckedMs = this.#checkedMs;
       this.#checkedMs = nowMs;
       this.#record(delayMs);
       this.start();
