fix(relay): end no request before the last sixth of the grace, take none at the exit

The earliest time of the signal was also used to end requests sooner, so that one sent at the end of a delay broke requests off before 5/6 of the grace time; now it only decides from when on requests are refused. While the relay ended the connections of other relays it still took calls of its worker and cut them; from the begin of the exit nothing is taken. The tests in planned_exit.test.ts failed before (504 in place of no answer yet; socket hang up).

The two tests of a relay that is killed with a request in flight after a signal 900 ms late go: they asked for an answer at a time that is before the last sixth if the signal was sent late in the delay. The tests of 350 and 900 ms in planned_exit.test.ts take their place. The requests of planned_stop.test.ts that go on during the drain get a deadline of 1 s, because a leaving relay takes no hop that lasts into its exit; the check is the same.

--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -260,7 +260,8 @@
    * flight then get an error response. Other relays get a refusal on each
    * connection that is still open.
    *
-   * @param earliestSignalMs see `ShutdownSchedule.start`.
+   * @param earliestSignalMs the earliest time at which the signal to stop can
+   *     have been sent, on the monotonic clock, in ms.
    */
   async drain(
     earliestSignalMs = this.#options.clock.monotonicMs(),
@@ -268,6 +269,7 @@
     this.#shutdown.start(earliestSignalMs);
     this.#workerGate.prepareExit(this.#shutdown.deadlineMs);
     await this.#untilIdle();
+    this.#shutdown.beginExit();
     if (this.#inboundServer) {
       await this.#inbound.retire(this.#inboundServer);
     }
--- a/daemon/relay/src/shutdown_schedule.ts
+++ b/daemon/relay/src/shutdown_schedule.ts
@@ -1,12 +1,11 @@
 import type {Clock} from '@carobseam/core.types';
 
 const MIN_DRAIN_MS = 2600; // two failed readiness checks at an interval of 1 s
-const REFUSE_NEW_REQUESTS_AFTER_MS = 2500; // requests sent later than 3 s after the signal must not be broken off
+const REFUSE_NEW_REQUESTS_AFTER_MS = 2500; // only requests sent up to 3 s after the signal may be broken off at the exit
 const LATEST_REFUSE_AFTER_SIGNAL_MS = 2950; // the same bound for a signal that is handled late
 const UNBROKEN_GRACE_SHARE = 5 / 6; // part of the grace time in which no request may be broken off
 const UNBROKEN_MARGIN_MS = 50; // responses at a deadline are sent a little earlier
 const LAST_RESPONSES_RESERVE_MS = 150; // time for the last responses to pass through two relays
-const EXIT_RESERVE_MS = 250; // from then on, to end the connections of other relays and to exit
 
 /**
  * The times of a relay's graceful shutdown. They are read from the clock at each
@@ -17,6 +16,7 @@
   readonly #graceMs: number;
   #startMs = Infinity;
   #earliestSignalMs = Infinity;
+  #exitMs = Infinity;
 
   /** @param graceMs time from SIGTERM to SIGKILL, in ms. */
   constructor(clock: Clock, graceMs: number) {
@@ -28,8 +28,8 @@
    * Starts the shutdown; later calls change nothing.
    *
    * @param earliestSignalMs the earliest time at which the signal can have been
-   *     sent, on the monotonic clock, in ms. The platform's bounds count from the
-   *     sending of the signal.
+   *     sent, on the monotonic clock, in ms. The platform's bound for taking
+   *     requests counts from the sending of the signal.
    */
   start(earliestSignalMs: number): void {
     if (!this.isDraining) {
@@ -38,6 +38,11 @@
     }
   }
 
+  /** Ends the drain: no request can complete any more. */
+  beginExit(): void {
+    this.#exitMs = Math.min(this.#exitMs, this.#clock.monotonicMs());
+  }
+
   get isDraining(): boolean {
     return this.#startMs < Infinity;
   }
@@ -47,6 +52,7 @@
       Math.min(
         this.#startMs + REFUSE_NEW_REQUESTS_AFTER_MS,
         this.#earliestSignalMs + LATEST_REFUSE_AFTER_SIGNAL_MS,
+        this.#exitMs,
       ),
     );
   }
@@ -66,12 +72,11 @@
    * infinite before the start.
    */
   get deadlineMs(): number {
-    const unbrokenMs = this.#graceMs * UNBROKEN_GRACE_SHARE;
-    const reserveMs = LAST_RESPONSES_RESERVE_MS + EXIT_RESERVE_MS;
-    return Math.min(
-      this.#startMs + unbrokenMs + UNBROKEN_MARGIN_MS,
-      this.#earliestSignalMs + this.#graceMs - reserveMs,
-    );
+    // Counts from the handling, because a signal that was sent just before it
+    // must not end requests any sooner.
+    const unbrokenMs =
+      this.#graceMs * UNBROKEN_GRACE_SHARE + UNBROKEN_MARGIN_MS;
+    return Math.min(this.#startMs + unbrokenMs, this.#exitMs);
   }
 
   #hasReached(timeMs: number): boolean {
