--- a/calls/relay/src/hop_connections.ts
+++ b/calls/relay/src/hop_connections.ts
@@ -42,12 +42,12 @@
   }
 
   /**
-   * Notes a request that was read.
+   * Begins a request that was read.
    *
    * @return false if its connection has ended with a refusal, so that the request
    *     must be ignored.
    */
-  begin(request: IncomingMessage, response: ServerResponse): boolean {
+  tryBegin(request: IncomingMessage, response: ServerResponse): boolean {
     const {socket} = request;
     if (socket.writableEnded) {
       return false;
--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -103,7 +103,7 @@
   }
 
   handle(request: IncomingMessage, response: ServerResponse): void {
-    if (!this.#connections.begin(request, response)) {
+    if (!this.#connections.tryBegin(request, response)) {
       request.resume();
       return;
     }
--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -2,11 +2,11 @@
 import {LATE_CLASS, priorityClassOf} from '@carobseam/calls.worker_queue';
 import {pickService, type MeshRoute} from '@carobseam/config.mesh';
 import type {LogFields} from '@carobseam/core.logger';
-import {endAfterUpload, LatestRequests} from '@carobseam/core.net';
+import {endAfterUpload} from '@carobseam/core.net';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
 import type {Readable} from 'node:stream';
+import {ClosingConnections} from './closing_connections.js';
 import type {DispatchResult} from './dispatched_request.js';
 import {
   isStreamed,
@@ -45,9 +45,7 @@
 export class OutboundHandler {
   readonly #context: RelayContext;
   readonly #abortCallbacks = new Set<() => void>();
-  readonly #latestRequests = new LatestRequests();
-  /** Connections that end after a response whose headers are sent. */
-  readonly #closingSockets = new WeakSet<Socket>();
+  readonly #closingConnections = new ClosingConnections();
   #activeCount = 0;
 
   readonly #readDelays = new WeakMap<IncomingMessage, number>();
@@ -70,11 +68,10 @@
   }
 
   handle(request: IncomingMessage, response: ServerResponse): void {
-    if (this.#closingSockets.has(request.socket)) {
-      request.resume(); // it crossed the close and cannot be answered
+    if (!this.#closingConnections.record(request)) {
+      request.resume();
       return;
     }
-    this.#latestRequests.record(request);
     this.#activeCount++;
     response.sendDate = false;
     onceClosed(request, response, () => this.#activeCount--);
@@ -381,14 +378,9 @@
   }
 
   #connectionHeaders(request: IncomingMessage): string[] {
-    if (
-      !this.#context.isDraining() ||
-      !this.#latestRequests.isLatest(request)
-    ) {
-      return [];
-    }
-    this.#closingSockets.add(request.socket);
-    return ['Connection', 'close'];
+    return this.#context.isDraining()
+      ? this.#closingConnections.closeAfter(request)
+      : [];
   }
 
   #recordEnd(
