--- a/daemon/main/test/planned_stop.test.ts
+++ b/daemon/main/test/planned_stop.test.ts
@@ -194,4 +194,4 @@
       expect(received()).to.match(/ran a[^]*ran b\n$/);
     });
   });
-});
+}).timeout(60_000);
--- a/daemon/relay/test/planned_stop.test.ts
+++ b/daemon/relay/test/planned_stop.test.ts
@@ -131,7 +131,7 @@
         expect(findUnanswered(relay.requests, [connection])).to.deep.equal([]);
       });
     });
-  });
+  }).timeout(60_000);
 }
 
 describe('stopped carobseam-relay', () => {
@@ -215,4 +215,4 @@
       expect(relay.requests).to.have.length(0);
     });
   });
-});
+}).timeout(60_000);
