refactor(follower): serve the change feed from its own package

Cause: the HTTP side of the change feed was a private method of the relay, so no test could run a feed over real connections without a whole relay.

Change: `FeedServer` takes a request of the control address, as `FeedClient` sends it. The relay passes its requests on. No change of behaviour.

--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -21,10 +21,8 @@
 import {splitAddress} from '@carobseam/core.net';
 import type {Clock, RandomSource, Timer} from '@carobseam/core.types';
 import {
-  decodeFeedRequest,
-  FEED_PATH,
   FeedClient,
-  FeedEncoder,
+  FeedServer,
   ReaderFollower,
   SourceFollower,
   ChangeFeed,
@@ -77,7 +75,7 @@
   readonly #peers: PeerDirectory;
   readonly #changeFeed: ChangeFeed;
   readonly #feedClient = new FeedClient();
-  readonly #feedEncoder = new FeedEncoder();
+  readonly #feedServer: FeedServer;
   readonly #readerFollower: ReaderFollower;
   readonly #sourceFollower: SourceFollower;
   readonly #outbound: OutboundHandler;
@@ -143,6 +141,13 @@
       ownAddress: settings.controlAddress,
       peerAddresses: () => this.#peers.dataCentreAddresses(),
     });
+    this.#feedServer = new FeedServer({
+      feed: this.#changeFeed,
+      role: () => ({
+        isReader: this.#readerFollower.isReader,
+        readers: this.#readerFollower.readers,
+      }),
+    });
     this.#sourceFollower = new SourceFollower({
       clock,
       random,
@@ -220,7 +225,7 @@
       ],
       [
         settings.controlAddress,
-        (request, response) => void this.#respondToPeer(request, response),
+        (request, response) => void this.#feedServer.handle(request, response),
       ],
       [
         `${settings.vmAddress}:${settings.metricsPort}`,
@@ -355,28 +360,6 @@
     response.end();
   }
 
-  async #respondToPeer(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
-    const url = new URL(request.url ?? '/', 'http://relay');
-    if (url.pathname !== FEED_PATH) {
-      response.writeHead(404, ['Content-Length', '0']);
-      response.end();
-      return;
-    }
-    const feedResponse = await this.#changeFeed.respond(
-      decodeFeedRequest(url.searchParams),
-      () => ({
-        isReader: this.#readerFollower.isReader,
-        readers: this.#readerFollower.readers,
-      }),
-    );
-    const body = this.#feedEncoder.encode(feedResponse);
-    response.setHeader('Content-Length', body.length);
-    response.end(body);
-  }
-
   async #respondMetrics(
     _request: IncomingMessage,
     response: ServerResponse,
