test(relay): failing cases of a large configuration on busy thin links

Change: 16 relays on links of 3.5 Mbit/s, of which callers take half, and two readers follow a store over real connections. One change adds 1,640 routes to 1,600, without a stop, with a reader that stops during the transfer, and with one that stops just before it.

--- /dev/null
+++ b/daemon/relay/test/large_change.test.ts
@@ -0,0 +1,60 @@
+import {expect} from 'chai';
+import {setTimeout as pause} from 'node:timers/promises';
+import {
+  createLargeConfig,
+  FollowingDataCentre,
+} from './following_data_centre.js';
+
+const CONFIG_APPLY_MS = 2500; // bound of the users' larger deployments
+const THIN_BYTES_PER_S = 3.5e6 / 8;
+const CALLERS_SHARE = 0.5; // part of a busy link that requests take
+const INITIAL_ROUTES = 1600;
+const ADDED_ROUTES = 1640;
+const SETTLE_TIMEOUT_MS = 8000;
+const OWN_WATCH_MS = 2700; // until a relay that follows readers has no watch of its own any more
+
+describe('relays on thin links', function () {
+  this.timeout(20_000);
+  let dataCentre: FollowingDataCentre;
+
+  beforeEach(async () => {
+    dataCentre = new FollowingDataCentre({
+      wideCount: 2,
+      thinCount: 16,
+      thinBytesPerS: THIN_BYTES_PER_S,
+    });
+    await dataCentre.start(createLargeConfig(1, INITIAL_ROUTES));
+    await dataCentre.untilFollowing(1, SETTLE_TIMEOUT_MS);
+    await pause(OWN_WATCH_MS);
+    dataCentre.setThinBytesPerS(THIN_BYTES_PER_S * (1 - CALLERS_SHARE));
+  });
+
+  afterEach(() => dataCentre.close());
+
+  it('guard against a large change that is late while callers use the links', async () => {
+    expect(await measureLargeChangeMs()).to.be.below(CONFIG_APPLY_MS);
+  });
+
+  it('guard against a large change that is late because a reader stops during its transfer', async () => {
+    setTimeout(() => dataCentre.stopRelay(0), 200);
+    expect(await measureLargeChangeMs()).to.be.below(CONFIG_APPLY_MS);
+  });
+
+  it('guard against a large change that is late because a reader stopped shortly before it', async () => {
+    dataCentre.stopRelay(0);
+    await pause(100);
+    expect(await measureLargeChangeMs()).to.be.below(CONFIG_APPLY_MS);
+  });
+
+  /** Adds routes and returns the time until the last relay has them, in ms. */
+  async function measureLargeChangeMs(): Promise<number> {
+    dataCentre.store.putConfig(
+      createLargeConfig(2, INITIAL_ROUTES + ADDED_ROUTES),
+    );
+    const arrivalsMs = await dataCentre.measureArrivalsMs(
+      2,
+      2 * CONFIG_APPLY_MS,
+    );
+    return Math.max(...arrivalsMs);
+  }
+});
