feat(relay): log and measure how old a configuration is when it comes into force

Change: a version carries its age, the time since the first relay on its way received it from the store, through the change feeds. `config_in_force` has `ageMs`, `config_received` the peer and the time of the transfer beyond the wait for a change, the histogram `carobseam_relay_config_age_seconds` the ages. The types of changes move to a file of their own.

--- a/config/mesh/src/index.ts
+++ b/config/mesh/src/index.ts
@@ -1,4 +1,5 @@
 export * from './config_delta.js';
+export * from './mesh_changes.js';
 export * from './mesh_config.js';
 export * from './mesh_source.js';
 export * from './mesh_state.js';
--- a/config/mesh/src/mesh_source.ts
+++ b/config/mesh/src/mesh_source.ts
@@ -1,4 +1,4 @@
-import type {MeshChanges, MeshSnapshot} from './mesh_state.js';
+import type {MeshChanges, MeshSnapshot} from './mesh_changes.js';
 import type {SourceRevision} from './source_revision.js';
 
 /**
--- a/config/mesh/src/mesh_state.ts
+++ b/config/mesh/src/mesh_state.ts
@@ -4,6 +4,12 @@
   diffConfigs,
   type ConfigDelta,
 } from './config_delta.js';
+import type {
+  MeshChanges,
+  MeshSnapshot,
+  MeshStateChange,
+  MeshUpdate,
+} from './mesh_changes.js';
 import type {MeshConfig} from './mesh_config.js';
 import type {MeshWorker, WorkerId} from './mesh_worker.js';
 import {RouteTable} from './route_table.js';
@@ -17,43 +23,6 @@
 const MAX_RECENT_CONFIGS = 16; // the changes of one second when the users' operators publish at their fastest
 const REMOVED_TTL_MS = 60_000; // several times as long as the users' store keeps its history
 
-/** Changes of the source up to and including one revision. */
-export interface MeshChanges {
-  revision: SourceRevision;
-  config?: MeshConfig;
-  /** Versions between the previous one and `config`; deltas for peers start from them. */
-  intermediateConfigs?: readonly MeshConfig[];
-  /** Number of versions that were transferred, `config` included; 1 when absent. */
-  configVersionCount?: number;
-  workers: readonly WorkerChange[];
-}
-
-/** Complete state of a source at one revision. */
-export type MeshSnapshot = MeshChanges;
-
-/** The changes that a peer lacks; sent in the responses to its polls. */
-export interface MeshUpdate {
-  /** Sequence number of the sender's last change. */
-  sequence: number;
-  /** The sender's state contains every change of the source up to this revision. */
-  revision: SourceRevision;
-  /**
-   * The full configuration; present when no delta from the receiver's version is
-   * available and the receiver accepts a full one.
-   */
-  config?: MeshConfig;
-  configDelta?: ConfigDelta;
-  /**
-   * Whether a newer configuration exists but could not be sent: no delta is
-   * available and the receiver does not accept a full one. The receiver must
-   * then get it elsewhere.
-   */
-  lacksVersion: boolean;
-  workers: readonly WorkerChange[];
-  /** Whether `workers` lists every worker, not only the changed ones. */
-  isWhole: boolean;
-}
-
 /** Options of `MeshState`. */
 export interface MeshStateOptions {
   clock: Clock;
@@ -65,16 +34,6 @@
   onApplied?: () => void;
 }
 
-/** A single change of the state; reported to `onChange`. */
-export type MeshStateChange =
-  | {kind: 'config'; version: number}
-  | {kind: 'worker'; worker: MeshWorker}
-  | {kind: 'workerRemoved'; id: WorkerId}
-  | {kind: 'removalHeld'; id: WorkerId}
-  | {kind: 'restoredEntryIgnored'; id: WorkerId}
-  /** The source was restored from an older copy. */
-  | {kind: 'sourceRestored'; era: number};
-
 /**
  * The newest configuration and worker entries that this process has received,
  * from the source or from peers. Neither the configuration nor an entry is ever
@@ -93,6 +52,8 @@
   /** Deltas to `#config`, by the version from which they start. */
   #deltas = new Map<number, ConfigDelta>();
   #config?: MeshConfig;
+  /** Monotonic time at which `#config` was first received from the source, in ms. */
+  #configReceivedMs = 0;
   #routes?: RouteTable;
   #byService = new Map<ServiceName, MeshWorker[]>();
   #byAddress = new Map<string, MeshWorker>();
@@ -168,7 +129,7 @@
     changes.intermediateConfigs?.forEach(config =>
       this.#addRecentConfig(config),
     );
-    this.#applyConfig(changes.config);
+    this.#applyConfig(changes.config, changes.configAgeMs ?? 0);
     for (const change of changes.workers) {
       this.#applyWorker(change);
     }
@@ -213,6 +174,7 @@
     return {
       sequence: this.#sequence,
       revision: this.#fullyAppliedRevision(),
+      configAgeMs: this.#configAgeMs(),
       ...this.#configSince(version, acceptsWhole),
       workers,
       isWhole,
@@ -235,7 +197,12 @@
     const isApplied = !isNewer || patchedConfig !== undefined;
     // If the delta was not applied, the revision stays, so that the change is fetched again.
     const revision = isApplied ? update.revision : this.#revision;
-    const changes = {revision, config: update.config ?? patchedConfig, workers};
+    const changes = {
+      revision,
+      config: update.config ?? patchedConfig,
+      configAgeMs: update.configAgeMs,
+      workers,
+    };
     if (isWhole) {
       this.applySnapshot(changes);
     } else {
@@ -292,16 +259,26 @@
     return Math.min(this.#revision, oldestHeld - 1) as SourceRevision;
   }
 
-  #applyConfig(config: MeshConfig | undefined): void {
+  #configAgeMs(): number {
+    const {clock} = this.#options;
+    return Math.round(clock.monotonicMs() - this.#configReceivedMs);
+  }
+
+  #applyConfig(config: MeshConfig | undefined, ageMs: number): void {
     if (!config || config.version <= (this.#config?.version ?? 0)) {
       return;
     }
     this.#config = config;
+    this.#configReceivedMs = this.#options.clock.monotonicMs() - ageMs;
     this.#deltas.clear();
     this.#addRecentConfig(config);
     this.#sequence++;
     this.#routes = new RouteTable(config);
-    this.#options.onChange?.({kind: 'config', version: config.version});
+    this.#options.onChange?.({
+      kind: 'config',
+      version: config.version,
+      ageMs: this.#configAgeMs(),
+    });
   }
 
   #addRecentConfig(config: MeshConfig): void {
--- a/core/metrics/src/relay_metrics.ts
+++ b/core/metrics/src/relay_metrics.ts
@@ -58,6 +58,12 @@
     help: 'Version of the active configuration.',
     labels: [],
   },
+  carobseam_relay_config_age_seconds: {
+    type: 'histogram',
+    help: 'Age of a configuration version when this relay put it into force: time since the first relay on its way received it from the store.',
+    labels: [],
+    buckets: [0.05, 0.1, 0.2, 0.5, 1, 1.5, 2, 2.5, 5, 10],
+  },
   carobseam_relay_source_era: {
     type: 'gauge',
     help: 'Era of the store after it was last restored from a copy; 0 when this relay has not seen that.',
--- a/daemon/relay/src/state_change_recorder.ts
+++ b/daemon/relay/src/state_change_recorder.ts
@@ -4,6 +4,8 @@
 import type {Metrics} from '@carobseam/core.metrics';
 import type {RateLimitedLog} from './rate_limited_log.js';
 
+const MS_PER_S = 1000;
+
 type ChangeOfKind<Kind extends MeshStateChange['kind']> = Extract<
   MeshStateChange,
   {kind: Kind}
@@ -14,7 +16,7 @@
     change: ChangeOfKind<Kind>,
   ) => [event: string, fields: LogFields];
 } = {
-  config: ({version}) => ['config_in_force', {version}],
+  config: ({version, ageMs}) => ['config_in_force', {version, ageMs}],
   worker: ({worker}) => [
     'worker_seen',
     {
@@ -54,6 +56,10 @@
     this.#log.logger.info(event, {...fields, revision});
     if (change.kind === 'config') {
       this.#metrics.set('carobseam_relay_config_version', change.version);
+      this.#metrics.observe(
+        'carobseam_relay_config_age_seconds',
+        change.ageMs / MS_PER_S,
+      );
     } else if (change.kind === 'sourceRestored') {
       this.#metrics.set('carobseam_relay_source_era', change.era);
     }
--- a/fleet/follower/src/change_feed.ts
+++ b/fleet/follower/src/change_feed.ts
@@ -66,6 +66,7 @@
     role: () => ReaderRole,
   ): Promise<FeedResponse> {
     const {state} = this.#options;
+    const startMs = this.#options.clock.monotonicMs();
     const isFollower = request.run === this.#run;
     const isCurrent =
       isFollower &&
@@ -74,7 +75,10 @@
     if (isCurrent && role().isReader && request.waitMs > 0) {
       await this.#wait(Math.min(request.waitMs, MAX_WAIT_MS));
     }
-    return this.#createResponse(request, isFollower, role());
+    return {
+      ...this.#createResponse(request, isFollower, role()),
+      heldMs: Math.round(this.#options.clock.monotonicMs() - startMs),
+    };
   }
 
   #createResponse(
--- a/fleet/follower/src/feed_client.ts
+++ b/fleet/follower/src/feed_client.ts
@@ -22,6 +22,7 @@
    * @throws Error when the peer does not respond in time.
    */
   async fetch(address: string, request: FeedRequest): Promise<FeedResponse> {
+    const startMs = performance.now();
     const {status, body} = await httpGet({
       address,
       path: `${FEED_PATH}?${encodeFeedRequest(request)}`,
@@ -34,7 +35,11 @@
     if (status !== 200) {
       throw new Error(`peer ${address} responded with status ${status}`);
     }
-    return JSON.parse(body.toString('utf8')) as FeedResponse;
+    const response = JSON.parse(body.toString('utf8')) as FeedResponse;
+    const durationMs = Math.round(performance.now() - startMs);
+    const transferMs = Math.max(0, durationMs - (response.heldMs ?? 0));
+    const configAgeMs = (response.configAgeMs ?? 0) + transferMs;
+    return {...response, transferMs, configAgeMs};
   }
 
   close(): void {
--- a/fleet/follower/src/feed_message.ts
+++ b/fleet/follower/src/feed_message.ts
@@ -26,6 +26,10 @@
   readers: readonly string[];
   /** Time since the source last responded to the responding relay, in ms. */
   contactAgeMs: number;
+  /** How long the responding relay held the poll, in ms. */
+  heldMs?: number;
+  /** How long the poll took beyond `heldMs`, in ms; set by the requester. */
+  transferMs?: number;
 }
 
 /** HTTP path of the change feed that each relay serves to its peers. */
--- a/fleet/follower/src/reader_follower.ts
+++ b/fleet/follower/src/reader_follower.ts
@@ -212,6 +212,14 @@
       });
     }
     const isApplied = state.applyUpdate(response);
+    if (response.configDelta && isApplied) {
+      logger.info('config_received', {
+        peer: peer.address,
+        version: response.configDelta.to,
+        ageMs: response.configAgeMs,
+        transferMs: response.transferMs,
+      });
+    }
     peer.run = response.run;
     peer.sequence = response.sequence;
     if (isApplied) {
--- a/fleet/follower/src/source_follower.ts
+++ b/fleet/follower/src/source_follower.ts
@@ -217,6 +217,7 @@
           before: revision,
           revision: state.revision,
           version: state.config?.version,
+          transferMs: response.transferMs,
         });
       }
     } catch (error) {
