fix(follower): compress the changes and states that relays send each other

Cause: a delta of 1,640 routes is 330 kB of JSON. A follower gets it from two readers at the same time, over a link of 3.5 to 5 Mbit/s that callers use as well, and each poll has 600 ms beyond its wait. Both time out, the relay reads the whole store beside them, and each transfer that is thrown away fills the link for the next.

Change: a relay that asks for it gets its response compressed with gzip; the delta and the whole configuration are compressed once for all followers, as a gzip member of their own. Relays of an older build do not ask and get plain JSON.

Why it works: the transfer takes a tenth of the time, so it ends before any of the limits.

--- a/core/http_get/src/http_get.ts
+++ b/core/http_get/src/http_get.ts
@@ -8,6 +8,7 @@
   /** IP address and port. */
   address: string;
   path: string;
+  headers?: http.OutgoingHttpHeaders;
   /** Agent that reuses connections; each call opens a new one by default. */
   agent?: http.Agent;
   /** Timeout for the complete response, in ms. */
@@ -29,7 +30,7 @@
  * @throws Error if the response is late, incomplete or too large.
  */
 export function httpGet(options: HttpGetOptions): Promise<HttpGetResult> {
-  const {path, agent = false, timeoutMs, maxBytes} = options;
+  const {path, headers, agent = false, timeoutMs, maxBytes} = options;
   const {host, port} = splitAddress(options.address);
   return new Promise((resolve, reject) => {
     let isComplete = false;
@@ -38,7 +39,7 @@
       request.destroy();
       reject(error);
     };
-    const request = http.get({host, port, path, agent}, response => {
+    const request = http.get({host, port, path, headers, agent}, response => {
       const chunks: Buffer[] = [];
       let bytes = 0;
       response.on('data', (chunk: Buffer) => {
@@ -52,8 +53,8 @@
         isComplete = true;
         clearTimeout(timer);
         const status = response.statusCode ?? 0;
-        const {headers} = response;
-        resolve({status, headers, body: Buffer.concat(chunks)});
+        const body = Buffer.concat(chunks);
+        resolve({status, headers: response.headers, body});
       });
       response.on('error', fail);
       response.on('aborted', () => fail(new Error('response was incomplete')));
--- a/fleet/follower/src/feed_client.ts
+++ b/fleet/follower/src/feed_client.ts
@@ -1,8 +1,10 @@
 import {httpGet} from '@carobseam/core.http_get';
 import http from 'node:http';
+import {gunzipSync} from 'node:zlib';
 import {
   encodeFeedRequest,
   FEED_PATH,
+  GZIP,
   type FeedRequest,
   type FeedResponse,
 } from './feed_message.js';
@@ -19,14 +21,16 @@
    * Sends one poll and returns the response.
    *
    * @param address control address of the peer.
-   * @throws Error when the peer does not respond in time.
+   * @throws Error when the peer does not respond in time or its response cannot be
+   *     decoded.
    */
   async fetch(address: string, request: FeedRequest): Promise<FeedResponse> {
     const startMs = performance.now();
-    const {status, body} = await httpGet({
+    const {status, headers, body} = await httpGet({
       address,
       path: `${FEED_PATH}?${encodeFeedRequest(request)}`,
       agent: this.#agent,
+      headers: {'Accept-Encoding': GZIP},
       timeoutMs:
         request.waitMs +
         (request.acceptsWhole ? FULL_STATE_TIMEOUT_MS : RESPONSE_TIMEOUT_MS),
@@ -35,7 +39,11 @@
     if (status !== 200) {
       throw new Error(`peer ${address} responded with status ${status}`);
     }
-    const response = JSON.parse(body.toString('utf8')) as FeedResponse;
+    const isCompressed = headers['content-encoding'] === GZIP;
+    const json = isCompressed
+      ? gunzipSync(body, {maxOutputLength: MAX_RESPONSE_BYTES})
+      : body;
+    const response = JSON.parse(json.toString('utf8')) as FeedResponse;
     const durationMs = Math.round(performance.now() - startMs);
     const transferMs = Math.max(0, durationMs - (response.heldMs ?? 0));
     const configAgeMs = (response.configAgeMs ?? 0) + transferMs;
--- a/fleet/follower/src/feed_message.ts
+++ b/fleet/follower/src/feed_message.ts
@@ -35,6 +35,9 @@
 /** HTTP path of the change feed that each relay serves to its peers. */
 export const FEED_PATH = '/changes';
 
+/** Content coding of large responses; relays that do not ask for it get none. */
+export const GZIP = 'gzip';
+
 /** Encodes a request as a query string. */
 export function encodeFeedRequest(request: FeedRequest): URLSearchParams {
   const query = new URLSearchParams();
--- a/fleet/follower/src/feed_server.ts
+++ b/fleet/follower/src/feed_server.ts
@@ -1,7 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {ChangeFeed, ReaderRole} from './change_feed.js';
 import {FeedEncoder} from './feed_encoder.js';
-import {decodeFeedRequest, FEED_PATH} from './feed_message.js';
+import {decodeFeedRequest, FEED_PATH, GZIP} from './feed_message.js';
 
 /** Options of `FeedServer`. */
 export interface FeedServerOptions {
@@ -31,10 +31,19 @@
       return;
     }
     const {feed, role} = this.#options;
-    const body = this.#encoder.encode(
-      await feed.respond(decodeFeedRequest(url.searchParams), role),
+    const feedResponse = await feed.respond(
+      decodeFeedRequest(url.searchParams),
+      role,
+    );
+    const acceptsGzip = request.headers['accept-encoding'] === GZIP;
+    const {body, isCompressed} = this.#encoder.encode(
+      feedResponse,
+      acceptsGzip,
     );
     response.setHeader('Content-Length', body.length);
+    if (isCompressed) {
+      response.setHeader('Content-Encoding', GZIP);
+    }
     response.end(body);
   }
 }
--- a/fleet/follower/test/feed_encoder.test.ts
+++ b/fleet/follower/test/feed_encoder.test.ts
@@ -1,17 +1,34 @@
 import type {ConfigDelta, MeshRoute, RouteName} from '@carobseam/config.mesh';
 import type {ConfigVersion} from '@carobseam/core.types';
-import {FeedEncoder, type FeedResponse} from '@carobseam/fleet.follower';
+import {
+  FeedEncoder,
+  type EncodedFeedResponse,
+  type FeedResponse,
+} from '@carobseam/fleet.follower';
 import {expect} from 'chai';
+import {gunzipSync} from 'node:zlib';
 
 describe('FeedEncoder', () => {
-  it('encodes a response with and without a delta', () => {
-    const encoder = new FeedEncoder();
-    for (const configDelta of [undefined, createDelta()]) {
-      const response = createResponse(1, configDelta);
-      expect(JSON.parse(encoder.encode(response).toString())).to.deep.equal(
-        JSON.parse(JSON.stringify(response)),
-      );
-    }
+  for (const acceptsGzip of [false, true]) {
+    it(`encodes a response with and without a delta, accepts gzip: ${acceptsGzip}`, () => {
+      const encoder = new FeedEncoder();
+      for (const configDelta of [undefined, createDelta()]) {
+        const response = createResponse(1, configDelta);
+        const encoded = encoder.encode(response, acceptsGzip);
+        expect(decode(encoded)).to.deep.equal(
+          JSON.parse(JSON.stringify(response)),
+        );
+      }
+    });
+  }
+
+  it('guards against a compressed response to a relay that does not ask for it', () => {
+    const {body, isCompressed} = new FeedEncoder().encode(
+      createResponse(1, createDelta()),
+      false,
+    );
+    expect(isCompressed).to.equal(false);
+    expect(JSON.parse(body.toString()).sequence).to.equal(1);
   });
 
   it('guards against encoding a large delta once for each follower', () => {
@@ -26,13 +43,18 @@
     };
     const encoder = new FeedEncoder();
     for (let sequence = 1; sequence <= 20; sequence++) {
-      const text = encoder.encode(createResponse(sequence, counted)).toString();
-      expect(JSON.parse(text).sequence).to.equal(sequence);
+      const encoded = encoder.encode(createResponse(sequence, counted), true);
+      expect(decode(encoded).sequence).to.equal(sequence);
     }
     expect(encodings).to.equal(1);
   });
 });
 
+function decode({body, isCompressed}: EncodedFeedResponse): FeedResponse {
+  const json = isCompressed ? gunzipSync(body) : body;
+  return JSON.parse(json.toString()) as FeedResponse;
+}
+
 function createDelta(): ConfigDelta {
   return {
     from: 1 as ConfigVersion,
