fix(http_get): limit the pauses in a response, not its whole transfer

Cause: a call of the store had 1 s for its complete response, whatever its size. The whole state with 3,240 routes has over 430 kB, which takes 1 s on an idle link of 3.5 Mbit/s and 2 s on one that is half used. Each read was broken off shortly before its end and started over, and the bytes were for nothing. The same limit ended polls of peers during a transfer.

Change: the limit of a call is for the begin of the response. After that, a response may pause for 1 s and take 10 s in all.

Why it works: the time that a transfer may take grows with its size; a store or a peer that has gone silent is still noticed within a second.

--- a/core/http_get/test/http_get.test.ts
+++ b/core/http_get/test/http_get.test.ts
@@ -38,6 +38,39 @@
     expect(await getFromServer(() => {})).to.equal('no response within 100 ms');
   });
 
+  it('guards against taking a long response over a slow link for none', async () => {
+    const sendSlowly = (response: http.ServerResponse) => {
+      let parts = 0;
+      const timer = setInterval(() => {
+        response.write('x');
+        if (++parts === 5) {
+          clearInterval(timer);
+          response.end();
+        }
+      }, 50);
+    };
+    expect(await getFromServer(sendSlowly)).to.equal('200 xxxxx');
+  });
+
+  it('guards against a response that stops before its end', async () => {
+    const stop = (response: http.ServerResponse) => {
+      response.setHeader('Content-Length', '10');
+      response.write('part');
+    };
+    expect(await getFromServer(stop)).to.equal('response paused for 1000 ms');
+  });
+
+  it('guards against a response that goes on without end', async function () {
+    this.timeout(15_000);
+    const trickle = (response: http.ServerResponse) => {
+      const timer = setInterval(() => response.write('x'), 50);
+      response.once('close', () => clearInterval(timer));
+    };
+    expect(await getFromServer(trickle)).to.equal(
+      'response was incomplete after 10000 ms',
+    );
+  });
+
   it('guards against an incomplete response', async () => {
     const closeEarly = (response: http.ServerResponse) => {
       response.setHeader('Content-Length', '10');
