fix(follower): follow readers of other data centres instead of reading the store whole

Cause: a relay on a thin link had two sources, the readers of its data centre and the store. When both readers had stopped, or had not heard from the store for 1.5 s, all relays of the data centre read the store whole at the same moment, 430 kB with 3,240 routes, over links that callers use. In a data centre with fewer than six relays they read it for every change.

Change: a relay that cannot be a reader itself looks for a reader of another data centre as soon as 200 ms of freshness are left, follows one until its own data centre has one again, and reads the store only if that takes longer than 500 ms. It follows readers also where there are few relays. The test that relays call the source themselves where they are few now covers relays that can be readers, which is what it was for; the others have a test of their own.

--- a/daemon/relay/src/peer_directory.ts
+++ b/daemon/relay/src/peer_directory.ts
@@ -34,11 +34,12 @@
 
   /** Control addresses of the other relays of this data centre. */
   dataCentreAddresses(): string[] {
-    const {dataCentre} = this.#settings;
-    const workers = [...this.#state.workers()];
-    return this.#controlAddresses(
-      workers.filter(worker => worker.dataCentre === dataCentre),
-    );
+    return this.#controlAddresses(this.#workersByPlace(true));
+  }
+
+  /** Control addresses of the relays of the other data centres. */
+  remoteAddresses(): string[] {
+    return this.#controlAddresses(this.#workersByPlace(false));
   }
 
   /** Addresses of all VMs with a worker. */
@@ -46,6 +47,13 @@
     return new Set([...this.#state.workers()].map(vmAddressOf));
   }
 
+  #workersByPlace(isLocal: boolean): MeshWorker[] {
+    const {dataCentre} = this.#settings;
+    return [...this.#state.workers()].filter(
+      worker => (worker.dataCentre === dataCentre) === isLocal,
+    );
+  }
+
   /** Control addresses of the workers' relays, without that of this relay. */
   #controlAddresses(
     workers: Iterable<MeshWorker>,
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -140,6 +140,8 @@
       canBeReader: hasHighBandwidthLink(settings),
       ownAddress: settings.controlAddress,
       peerAddresses: () => this.#peers.dataCentreAddresses(),
+      remotePeerAddresses: () => this.#peers.remoteAddresses(),
+      random,
     });
     this.#feedServer = new FeedServer({
       feed: this.#changeFeed,
--- a/daemon/relay/test/following_data_centre.ts
+++ b/daemon/relay/test/following_data_centre.ts
@@ -28,6 +28,8 @@
 
 const HOST = '127.0.0.1';
 const CONTROL_PORT = 9;
+const LOCAL = 'wien' as DataCentreName;
+const REMOTE = 'linz' as DataCentreName;
 const REMOVAL_GRACE_MS = 2200;
 const CHECK_INTERVAL_MS = 20;
 
@@ -35,6 +37,8 @@
 export interface FollowingDataCentreOptions {
   wideCount: number;
   thinCount: number;
+  /** Relays with wide links in another data centre; none by default. */
+  remoteCount?: number;
   /** Bandwidth of each thin link, in bytes per second. */
   thinBytesPerS: number;
 }
@@ -50,7 +54,7 @@
 
 /**
  * The relays of a data centre with a store, over real connections. Relays with
- * wide links have the lowest addresses.
+ * wide links have the lowest addresses, those of another data centre the highest.
  */
 export class FollowingDataCentre {
   readonly store = new StoreStandIn();
@@ -68,9 +72,12 @@
   /** Starts the store and all relays, which then read the configuration. */
   async start(config: MeshConfig): Promise<void> {
     this.#storeAddress = await this.store.listen(HOST);
-    const count = this.#options.wideCount + this.#options.thinCount;
+    const {wideCount, thinCount, remoteCount = 0} = this.#options;
+    const localCount = wideCount + thinCount;
+    const count = localCount + remoteCount;
     for (let relay = 0; relay < count; relay++) {
-      this.store.putWorker(createWorker(relay));
+      const dataCentre = relay < localCount ? LOCAL : REMOTE;
+      this.store.putWorker(createWorker(relay, dataCentre));
     }
     this.store.putConfig(config);
     for (let relay = 0; relay < count; relay++) {
@@ -96,6 +103,16 @@
     this.#thinRelays().forEach(({link}) => (link.bytesPerS = bytesPerS));
   }
 
+  /** Cuts the incoming direction of a relay's link for some time. */
+  blockLink(relay: number, durationMs: number): void {
+    this.#relays[relay]!.link.block(durationMs);
+  }
+
+  /** Bytes that each thin relay has received so far. */
+  receivedBytes(): number[] {
+    return this.#thinRelays().map(({link}) => link.receivedBytes);
+  }
+
   /** Ends a relay's process. */
   stopRelay(relay: number): void {
     this.#relays[relay]!.close();
@@ -133,13 +150,19 @@
   }
 
   #thinRelays(): FollowingRelay[] {
-    return this.#relays.slice(this.#options.wideCount);
+    const {wideCount, thinCount} = this.#options;
+    return this.#relays.slice(wideCount, wideCount + thinCount);
+  }
+
+  #isThin(relay: number): boolean {
+    const {wideCount, thinCount} = this.#options;
+    return relay >= wideCount && relay < wideCount + thinCount;
   }
 
   async #startRelay(relay: number): Promise<FollowingRelay> {
     const clock = new SystemClock();
     const random = new SeededRandom(relay + 1);
-    const isWide = relay < this.#options.wideCount;
+    const isWide = !this.#isThin(relay);
     const link = new ThinLink(isWide ? Infinity : this.#options.thinBytesPerS);
     const ownAddress = controlAddressOf(relay);
     const client = new FeedClient();
@@ -161,10 +184,14 @@
       onApplied: () => feed.notifyStateChanged(),
     });
     const feed: ChangeFeed = new ChangeFeed({clock, random, state});
-    const peerAddresses = () =>
+    const {wideCount, thinCount} = this.#options;
+    const ownDataCentre = relay < wideCount + thinCount ? LOCAL : REMOTE;
+    const listPeers = (isLocal: boolean) =>
       [...state.workers()]
+        .filter(worker => (worker.dataCentre === ownDataCentre) === isLocal)
         .map(({id}) => controlAddressOf(relayOf(id)))
         .filter(address => address !== ownAddress);
+    const peerAddresses = () => listPeers(true);
     const readerFollower = new ReaderFollower({
       clock,
       state,
@@ -173,6 +200,8 @@
       canBeReader: isWide,
       ownAddress,
       peerAddresses,
+      remotePeerAddresses: () => listPeers(false),
+      random,
     });
     const sourceFollower = new SourceFollower({
       clock,
@@ -247,12 +276,12 @@
   };
 }
 
-function createWorker(relay: number): MeshWorker {
+function createWorker(relay: number, dataCentre: DataCentreName): MeshWorker {
   return {
     id: `i-${relay}` as WorkerId,
     service: 'hintdesk' as ServiceName,
     address: `10.1.0.${relay + 10}:80`,
-    dataCentre: 'wien' as DataCentreName,
+    dataCentre,
     slots: 13,
     isLeaving: false,
     coldRemainingMs: 0,
--- a/daemon/relay/test/large_change.test.ts
+++ b/daemon/relay/test/large_change.test.ts
@@ -21,6 +21,7 @@
     dataCentre = new FollowingDataCentre({
       wideCount: 2,
       thinCount: 16,
+      remoteCount: 2,
       thinBytesPerS: THIN_BYTES_PER_S,
     });
     await dataCentre.start(createLargeConfig(1, INITIAL_ROUTES));
@@ -46,6 +47,32 @@
     expect(await measureLargeChangeMs()).to.be.below(CONFIG_APPLY_MS);
   });
 
+  it('guard against a large change that is late because all readers of the data centre stop', async () => {
+    dataCentre.stopRelay(0);
+    dataCentre.stopRelay(1);
+    expect(await measureLargeChangeMs()).to.be.below(CONFIG_APPLY_MS);
+  });
+
+  it('guard against a large change that is late because no reader of the data centre reaches the store', async () => {
+    dataCentre.blockLink(0, SETTLE_TIMEOUT_MS);
+    dataCentre.blockLink(1, SETTLE_TIMEOUT_MS);
+    expect(await measureLargeChangeMs()).to.be.below(CONFIG_APPLY_MS);
+  });
+
+  it('guard against full reads by all relays because their readers lose the store for a moment', async () => {
+    const beforeBytes = dataCentre.receivedBytes();
+    dataCentre.blockLink(0, 1800);
+    dataCentre.blockLink(1, 1800);
+    await pause(4000);
+    const readBytes = dataCentre
+      .receivedBytes()
+      .map((bytes, relay) => bytes - beforeBytes[relay]!);
+    const configBytes = JSON.stringify(
+      createLargeConfig(1, INITIAL_ROUTES).routes,
+    ).length;
+    expect(Math.max(...readBytes)).to.be.below(configBytes / 4);
+  });
+
   /** Adds routes and returns the time until the last relay has them, in ms. */
   async function measureLargeChangeMs(): Promise<number> {
     dataCentre.store.putConfig(
--- a/daemon/relay/test/thin_link.ts
+++ b/daemon/relay/test/thin_link.ts
@@ -16,6 +16,11 @@
     this.bytesPerS = bytesPerS;
   }
 
+  /** Lets no byte pass for some time. */
+  block(durationMs: number): void {
+    this.#freeAtMs = performance.now() + durationMs;
+  }
+
   /** Resolves when the bytes have passed behind those of earlier calls. */
   async transfer(bytes: number): Promise<void> {
     const nowMs = performance.now();
--- a/fleet/follower/src/reader_follower.ts
+++ b/fleet/follower/src/reader_follower.ts
@@ -1,6 +1,6 @@
 import type {MeshState} from '@carobseam/config.mesh';
 import type {Logger} from '@carobseam/core.logger';
-import type {Clock} from '@carobseam/core.types';
+import type {Clock, RandomSource} from '@carobseam/core.types';
 import type {FetchFeed} from './feed_message.js';
 
 const READER_COUNT = 2; // one may lose contact with the source without noticing
@@ -8,6 +8,7 @@
 const POLL_WAIT_MS = 1500; // longer than the interval at which the source responds to readers
 const FRESH_MS = 1500; // covers two contacts with the source and a batch delay; well below the limit of 2.5 s for a change
 const SEARCH_INTERVAL_MS = 150; // all relays of a data centre of 20 are tried in 3 s
+const REMOTE_SEARCH_MS = 200; // of freshness left; readers in good health renew it before
 const FIRST_BACKOFF_MS = 300; // before a reader that did not respond is polled again
 const MAX_BACKOFF_MS = 10_000; // for peers that are not readers; at most two such polls a second in a data centre of 20
 
@@ -22,6 +23,9 @@
   ownAddress: string;
   /** Control addresses of the other relays of the data centre. */
   peerAddresses: () => readonly string[];
+  /** Control addresses of the relays of other data centres. */
+  remotePeerAddresses: () => readonly string[];
+  random: RandomSource;
 }
 
 interface Backoff {
@@ -31,6 +35,8 @@
 
 interface FollowedPeer {
   address: string;
+  /** Whether the peer is in another data centre. */
+  isRemote: boolean;
   run?: string;
   sequence?: number;
   freshUntilMs: number;
@@ -40,7 +46,9 @@
  * Follows the readers, that is the relays of the data centre that read the
  * source. A change of a large configuration then crosses low-bandwidth links
  * as a delta, and the source receives few calls. Among the relays with a
- * high-bandwidth link, those with the lowest addresses become readers.
+ * high-bandwidth link, those with the lowest addresses become readers. A relay
+ * with a low-bandwidth link follows a reader of another data centre while its
+ * own has none.
  */
 export class ReaderFollower {
   readonly #options: ReaderFollowerOptions;
@@ -101,10 +109,19 @@
       return;
     }
     this.#logRoleChange();
-    if (this.#followed.size < READER_COUNT) {
+    const followed = [...this.#followed.values()];
+    if (followed.filter(peer => !peer.isRemote).length < READER_COUNT) {
       const [candidate] = this.#listCandidates();
       if (candidate !== undefined) {
-        void this.#follow(candidate);
+        void this.#follow(candidate, false);
+      }
+    }
+    const needsRemote =
+      !this.#options.canBeReader && this.freshForMs < REMOTE_SEARCH_MS;
+    if (needsRemote && !followed.some(peer => peer.isRemote)) {
+      const candidate = this.#chooseRemoteCandidate();
+      if (candidate !== undefined) {
+        void this.#follow(candidate, true);
       }
     }
     this.#options.clock.setTimer(SEARCH_INTERVAL_MS, () => this.#search());
@@ -124,38 +141,59 @@
 
   /** Addresses of peers that may be readers, the most likely ones first. */
   #listCandidates(): string[] {
-    const {canBeReader, clock, ownAddress, peerAddresses, state} =
-      this.#options;
+    const {canBeReader, ownAddress, peerAddresses, state} = this.#options;
     const peers = peerAddresses();
-    if (!state.config || peers.length < MIN_PEERS) {
+    if (!state.config || (canBeReader && peers.length < MIN_PEERS)) {
       return [];
     }
-    const nowMs = clock.monotonicMs();
+    return this.#selectUsable(peers, [...peers].sort(compareAddresses)).filter(
+      // Of two relays that can be readers, the one with the lower address is followed.
+      address => !canBeReader || compareAddresses(ownAddress, address) > 0,
+    );
+  }
+
+  /** Returns a relay of another data centre that may be a reader or know one. */
+  #chooseRemoteCandidate(): string | undefined {
+    const {random, remotePeerAddresses, state} = this.#options;
+    const peers = remotePeerAddresses();
+    if (!state.config || peers.length === 0) {
+      return undefined;
+    }
+    // Followers of all data centres spread over the others by chance.
+    const start = random.nextInt(peers.length);
+    const rotated = [...peers.slice(start), ...peers.slice(0, start)];
+    return this.#selectUsable(peers, rotated)[0];
+  }
+
+  /** Puts suggested readers first and leaves out peers that cannot be polled now. */
+  #selectUsable(
+    peers: readonly string[],
+    ordered: readonly string[],
+  ): string[] {
+    const nowMs = this.#options.clock.monotonicMs();
     const currentPeers = new Set(peers);
-    const ordered = [
-      ...this.#suggestedReaders,
-      ...[...peers].sort(compareAddresses),
-    ];
-    return ordered.filter(
+    return [...this.#suggestedReaders, ...ordered].filter(
       address =>
         currentPeers.has(address) &&
         !this.#followed.has(address) &&
-        (this.#backoffs.get(address)?.untilMs ?? 0) <= nowMs &&
-        // Of two relays that can be readers, the one with the lower address is followed.
-        !(canBeReader && compareAddresses(ownAddress, address) < 0),
+        (this.#backoffs.get(address)?.untilMs ?? 0) <= nowMs,
     );
   }
 
-  async #follow(address: string): Promise<void> {
+  async #follow(address: string, isRemote: boolean): Promise<void> {
     const {logger, state} = this.#options;
-    const peer: FollowedPeer = {address, freshUntilMs: 0};
+    const peer: FollowedPeer = {address, isRemote, freshUntilMs: 0};
     this.#followed.set(address, peer);
     let cause = 'closed';
     try {
-      while (!this.#isClosed && (await this.#poll(peer))) {
+      while (
+        !this.#isClosed &&
+        !(isRemote && this.#hasLocalReader()) &&
+        (await this.#poll(peer))
+      ) {
         // Each poll waits for the next change.
       }
-      cause = 'no reader';
+      cause = 'no reader or no need of it';
     } catch (error) {
       // The search selects another peer.
       cause = error instanceof Error ? error.message : String(error);
@@ -230,6 +268,10 @@
     return isApplied || response.configDelta?.from !== state.config?.version;
   }
 
+  #hasLocalReader(): boolean {
+    return this.#freshReaders().some(peer => !peer.isRemote);
+  }
+
   #freshReaders(): FollowedPeer[] {
     const nowMs = this.#options.clock.monotonicMs();
     return [...this.#followed.values()].filter(
--- a/fleet/follower/src/source_follower.ts
+++ b/fleet/follower/src/source_follower.ts
@@ -5,6 +5,7 @@
 
 const WATCH_WAIT_MS = 2500; // an unresponsive connection is noticed within twice the limit for a drain
 const READER_WAIT_MS = 600; // shorter for readers, so that their followers notice an unresponsive source within 1.2 s
+const READER_SEARCH_MS = 500; // a few polls; a full read over a low-bandwidth link takes longer
 const MIN_PAUSE_MS = 20; // the freshness of readers is checked no more often
 const CATCH_UP_MS = 2000; // covers several changes of a burst; a watch then shows whether the burst is over
 const BATCH_MS = 350; // changes within this time share one call; well below the limits of 2 s for a change
@@ -77,6 +78,9 @@
         continue;
       }
       if (this.#wasFollowingReaders) {
+        if (await this.#findsReader()) {
+          continue;
+        }
         this.#wasFollowingReaders = false;
         // A watch would send every version since then over the link, not just the newest one.
         this.#needsFullRead = true;
@@ -101,6 +105,24 @@
     this.#wakeUp?.();
   }
 
+  /**
+   * Waits until another reader is followed. Relays with a low-bandwidth link
+   * would otherwise all read the source in full because of a short disruption.
+   */
+  async #findsReader(): Promise<boolean> {
+    const {clock, hasLowBandwidthLink, readers} = this.#options;
+    const endMs = clock.monotonicMs() + READER_SEARCH_MS;
+    while (
+      hasLowBandwidthLink &&
+      !this.#isClosed &&
+      readers.freshForMs === 0 &&
+      clock.monotonicMs() < endMs
+    ) {
+      await this.#sleep(MIN_PAUSE_MS);
+    }
+    return readers.freshForMs > 0;
+  }
+
   async #readOrWatch(): Promise<void> {
     const {source, state, logger, readers, clock} = this.#options;
     if (this.#needsFullRead) {
--- a/fleet/follower/test/reader_follower.test.ts
+++ b/fleet/follower/test/reader_follower.test.ts
@@ -188,6 +188,8 @@
         workers
           .map((_, index) => addressOf(index))
           .filter(address => address !== addressOf(relay)),
+      remotePeerAddresses: () => [],
+      random,
     });
     const sourceFollower = new SourceFollower({
       clock,
@@ -263,8 +265,8 @@
     dataCentre.close();
   });
 
-  it('makes every relay call the source itself when there are few relays', async () => {
-    const dataCentre = startDataCentre(4);
+  it('makes every relay that can be a reader call the source itself when there are few relays', async () => {
+    const dataCentre = startDataCentre(4, 4);
     await dataCentre.clock.advanceAsync(START_MS);
     expect(
       dataCentre.relays.some(({readerFollower}) => readerFollower.isFresh),
@@ -272,6 +274,15 @@
     dataCentre.close();
   });
 
+  it('guards against low-bandwidth links that carry whole configurations because there are few relays', async () => {
+    const dataCentre = startDataCentre(4);
+    await dataCentre.clock.advanceAsync(START_MS);
+    expect(
+      dataCentre.relays.map(({readerFollower}) => readerFollower.isFresh),
+    ).to.deep.equal([false, false, true, true]);
+    dataCentre.close();
+  });
+
   it('guards against a change that is delayed because a reader stopped', async () => {
     const dataCentre = startDataCentre(8);
     await dataCentre.clock.advanceAsync(START_MS);
