fix(follower): keep a reader fresh while its response arrives

Cause: freshness ended 1.5 s after the last complete response of a reader, also in the middle of the next one. A relay with a change on its way then searched for other readers, which sent the change once more, and read the whole store beside it, all on the link that was the reason for the delay.

Change: each part of a response that arrives keeps its reader fresh for a second, the longest pause after which the poll fails anyway.

--- a/daemon/relay/test/following_data_centre.ts
+++ b/daemon/relay/test/following_data_centre.ts
@@ -173,10 +173,10 @@
       proxyAddresses.set(target, address);
       return address;
     };
-    const fetchFeed: FeedClient['fetch'] = async (address, request) =>
+    const fetchFeed: FeedClient['fetch'] = async (address, ...others) =>
       client.fetch(
         await connectThrough(this.#feedAddresses.get(address)!),
-        request,
+        ...others,
       );
     const state = new MeshState({
       clock,
--- a/daemon/relay/test/large_change.test.ts
+++ b/daemon/relay/test/large_change.test.ts
@@ -8,11 +8,17 @@
 const CONFIG_APPLY_MS = 2500; // bound of the users' larger deployments
 const THIN_BYTES_PER_S = 3.5e6 / 8;
 const CALLERS_SHARE = 0.5; // part of a busy link that requests take
+const BUSIEST_CALLERS_SHARE = 0.97;
 const INITIAL_ROUTES = 1600;
 const ADDED_ROUTES = 1640;
 const SETTLE_TIMEOUT_MS = 8000;
 const OWN_WATCH_MS = 2700; // until a relay that follows readers has no watch of its own any more
 
+/** Size of the initial configuration in the store; smaller than any full read. */
+function fullReadBytes(): number {
+  return JSON.stringify(createLargeConfig(1, INITIAL_ROUTES).routes).length;
+}
+
 describe('relays on thin links', function () {
   this.timeout(20_000);
   let dataCentre: FollowingDataCentre;
@@ -64,24 +70,31 @@
     dataCentre.blockLink(0, 1800);
     dataCentre.blockLink(1, 1800);
     await pause(4000);
-    const readBytes = dataCentre
-      .receivedBytes()
-      .map((bytes, relay) => bytes - beforeBytes[relay]!);
-    const configBytes = JSON.stringify(
-      createLargeConfig(1, INITIAL_ROUTES).routes,
-    ).length;
-    expect(Math.max(...readBytes)).to.be.below(configBytes / 4);
+    expect(maxReceivedSince(beforeBytes)).to.be.below(fullReadBytes() / 4);
+  });
+
+  it('guard against reading everything beside a change that arrives slowly', async () => {
+    const beforeBytes = dataCentre.receivedBytes();
+    dataCentre.setThinBytesPerS(THIN_BYTES_PER_S * (1 - BUSIEST_CALLERS_SHARE));
+    await measureLargeChangeMs(SETTLE_TIMEOUT_MS);
+    expect(maxReceivedSince(beforeBytes)).to.be.below(fullReadBytes() / 2);
   });
 
+  function maxReceivedSince(beforeBytes: readonly number[]): number {
+    const received = dataCentre.receivedBytes();
+    return Math.max(
+      ...received.map((bytes, relay) => bytes - beforeBytes[relay]!),
+    );
+  }
+
   /** Adds routes and returns the time until the last relay has them, in ms. */
-  async function measureLargeChangeMs(): Promise<number> {
+  async function measureLargeChangeMs(
+    timeoutMs = 2 * CONFIG_APPLY_MS,
+  ): Promise<number> {
     dataCentre.store.putConfig(
       createLargeConfig(2, INITIAL_ROUTES + ADDED_ROUTES),
     );
-    const arrivalsMs = await dataCentre.measureArrivalsMs(
-      2,
-      2 * CONFIG_APPLY_MS,
-    );
+    const arrivalsMs = await dataCentre.measureArrivalsMs(2, timeoutMs);
     return Math.max(...arrivalsMs);
   }
 });
--- a/fleet/follower/src/feed_client.ts
+++ b/fleet/follower/src/feed_client.ts
@@ -21,10 +21,15 @@
    * Sends one poll and returns the response.
    *
    * @param address control address of the peer.
+   * @param onProgress called when a part of the response has arrived.
    * @throws Error when the peer does not respond in time or its response cannot be
    *     decoded.
    */
-  async fetch(address: string, request: FeedRequest): Promise<FeedResponse> {
+  async fetch(
+    address: string,
+    request: FeedRequest,
+    onProgress?: () => void,
+  ): Promise<FeedResponse> {
     const startMs = performance.now();
     const {status, headers, body} = await httpGet({
       address,
@@ -35,6 +40,7 @@
         request.waitMs +
         (request.acceptsWhole ? FULL_STATE_TIMEOUT_MS : RESPONSE_TIMEOUT_MS),
       maxBytes: MAX_RESPONSE_BYTES,
+      onProgress,
     });
     if (status !== 200) {
       throw new Error(`peer ${address} responded with status ${status}`);
--- a/fleet/follower/src/feed_message.ts
+++ b/fleet/follower/src/feed_message.ts
@@ -62,8 +62,13 @@
   };
 }
 
-/** Polls the peer with the given control address for changes. */
+/**
+ * Polls the peer with the given control address for changes.
+ *
+ * @param onProgress called when a part of the response has arrived.
+ */
 export type FetchFeed = (
   address: string,
   request: FeedRequest,
+  onProgress?: () => void,
 ) => Promise<FeedResponse>;
--- a/fleet/follower/src/reader_follower.ts
+++ b/fleet/follower/src/reader_follower.ts
@@ -7,6 +7,7 @@
 const MIN_PEERS = 5; // with fewer, readers save too few calls to justify the delay that they add to changes
 const POLL_WAIT_MS = 1500; // longer than the interval at which the source responds to readers
 const FRESH_MS = 1500; // covers two contacts with the source and a batch delay; well below the limit of 2.5 s for a change
+const TRANSFER_FRESH_MS = 1000; // the longest pause in a response before its poll fails
 const SEARCH_INTERVAL_MS = 150; // all relays of a data centre of 20 are tried in 3 s
 const REMOTE_SEARCH_MS = 200; // of freshness left; readers in good health renew it before
 const FIRST_BACKOFF_MS = 300; // before a reader that did not respond is polled again
@@ -230,14 +231,17 @@
    */
   async #poll(peer: FollowedPeer): Promise<boolean> {
     const {clock, fetchFeed, logger, state} = this.#options;
-    const response = await fetchFeed(peer.address, {
+    const request = {
       run: peer.run,
       sequence: peer.sequence,
       version: state.config?.version ?? 0,
       revision: state.revision,
       acceptsWhole: false,
       waitMs: peer.run === undefined ? 0 : POLL_WAIT_MS,
-    });
+    };
+    const response = await fetchFeed(peer.address, request, () =>
+      this.#extendDuringTransfer(peer),
+    );
     if (this.#isClosed || !response.isReader || response.lacksVersion) {
       this.#suggestedReaders =
         response.readers.length > 0 ? response.readers : this.#suggestedReaders;
@@ -268,6 +272,19 @@
     return isApplied || response.configDelta?.from !== state.config?.version;
   }
 
+  /**
+   * Keeps a reader fresh while its response arrives: a search for another one or
+   * a read of the source would only delay it on the same link.
+   */
+  #extendDuringTransfer(peer: FollowedPeer): void {
+    if (peer.run !== undefined) {
+      peer.freshUntilMs = Math.max(
+        peer.freshUntilMs,
+        this.#options.clock.monotonicMs() + TRANSFER_FRESH_MS,
+      );
+    }
+  }
+
   #hasLocalReader(): boolean {
     return this.#freshReaders().some(peer => !peer.isRemote);
   }
