fix(relay): answer 503 for a missing route while the configuration may be old

Callers do not retry after 404, so the request was lost for good.

Cause: a relay that had lost its readers, or the store, answered as if its version were the newest.

Change: such a relay answers 503 with a Retry-After of 500 ms where no route matches (`outcome=staleConfig`), until readers or the store have told it that its state is the newest. The request has not run, so the promise of 503 is true. Requests with a known route are served as before, also at relays that are cut off from the platform, and a relay in contact goes on to answer 404.

Result: the test got 404 before and gets 503 now.

--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -25,6 +25,7 @@
 import {hasSenderLeft, onceClosed} from './sender_presence.js';
 
 const NO_CONFIG_RETRY_MS = 200; // a relay reads its configuration within this time after its start
+const STALE_CONFIG_RETRY_MS = 500; // a relay that has lost its readers follows others or reads the source in about this time
 const DRAINING_RETRY_MS = 50; // another relay of the data centre can serve the retry at once
 const DEADLINE_MARGIN_MS = 10; // so that the response reaches the caller before its deadline
 const EXCLUDED_HEADERS = new Set<string>([
@@ -342,15 +343,20 @@
     response: ServerResponse,
     arrivedMs: number,
   ): void {
-    if (!this.#context.state.config) {
+    const {config} = this.#context.state;
+    if (!config) {
       this.#recordEnd(request, arrivedMs, 'noConfig', {});
       this.#refuse(response, 503, retryAfterHeader(NO_CONFIG_RETRY_MS));
       return;
     }
-    this.#recordEnd(request, arrivedMs, 'noRoute', {
-      host: request.headers.host,
-      version: this.#context.state.config.version,
-    });
+    const fields = {host: request.headers.host, version: config.version};
+    if (!this.#context.isStateCurrent()) {
+      // A newer version may have the route, and callers do not retry after 404.
+      this.#recordEnd(request, arrivedMs, 'staleConfig', fields);
+      this.#refuse(response, 503, retryAfterHeader(STALE_CONFIG_RETRY_MS));
+      return;
+    }
+    this.#recordEnd(request, arrivedMs, 'noRoute', fields);
     this.#refuse(response, 404, []);
   }
 
--- a/calls/relay/src/relay_context.ts
+++ b/calls/relay/src/relay_context.ts
@@ -40,6 +40,8 @@
   /** Address of the local worker. */
   workerAddress: string;
   retryBudgets: ServiceRetryBudgets;
+  /** Whether the configuration is known to be the newest. */
+  isStateCurrent: () => boolean;
   /** Whether this relay is shutting down gracefully. */
   isDraining: () => boolean;
   /**
--- a/cli/carobseam/src/explain_request.ts
+++ b/cli/carobseam/src/explain_request.ts
@@ -88,6 +88,8 @@
     `The response was broken off after ${durationMs} ms, in the middle of its body: ${BREAK_OFFS[reason!] ?? reason}.`,
   callerLeft: () => 'The caller left before there was a response.',
   noConfig: () => 'Refused: the relay had not read a configuration yet.',
+  staleConfig: () =>
+    'Refused: no known route matches, and the relay could not tell whether its configuration was the newest.',
   noRoute: ({host, version}) =>
     `No route of version ${version} fits host ${host} and the path.`,
   refused: ({reason, retryAfterMs}) =>
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -192,6 +192,7 @@
       callerDeadlines: new CallerDeadlineTracker(clock),
       intake: this.#intake,
       hopStamps: new HopStamps(clock),
+      isStateCurrent: () => this.#sourceFollower.isCurrent,
       readDelayOf: request => this.#readDelayProbe.delayOf(request),
       log: recorder,
       dataCentre: settings.dataCentre,
--- a/daemon/relay/test/relay.test.ts
+++ b/daemon/relay/test/relay.test.ts
@@ -174,6 +174,28 @@
     });
   });
 
+  it('guards against a final refusal for a missing route while the source does not respond', async () => {
+    const ports = allocatePorts();
+    const worker = await startWorker('127.0.0.1');
+    const source = new FakeSource(
+      createSnapshot([createWorkerEntry(worker, 'i-0')]),
+    );
+    source.watch = () => Promise.reject(new Error('no response'));
+    const relay = await startRelay(worker, ports, source);
+    const host = '127.0.0.1';
+    const port = ports[0]!;
+    try {
+      const {status, headers} = await call({host, port, path: '/unknown/1'});
+      expect(status).to.equal(503);
+      expect(Number(headers['retry-after'])).to.be.within(0.1, 1);
+      const served = await call({host, port, path: '/read/1'});
+      expect(served.status).to.equal(200);
+    } finally {
+      relay.close();
+      await worker.close();
+    }
+  });
+
   it('guards against work for a caller that has closed its connection', async () => {
     let closedMs = Infinity;
     const hanging: RequestHandler = request =>
--- a/fleet/follower/src/source_follower.ts
+++ b/fleet/follower/src/source_follower.ts
@@ -66,6 +66,18 @@
     this.#options = options;
   }
 
+  /**
+   * Whether the state is known to be the newest: readers send the changes, or a
+   * call waits for them at the source.
+   */
+  get isCurrent(): boolean {
+    const isWatching = this.#failureCount === 0 && !this.#needsFullRead;
+    return (
+      this.#options.readers.freshForMs > 0 ||
+      (isWatching && !this.#wasFollowingReaders)
+    );
+  }
+
   /** Follows the source until `close`. */
   async run(): Promise<void> {
     while (!this.#isClosed) {
