fix(follower): look for readers after the first read, before watching the source

Cause: after its first read a relay on a thin link began a watch of 2.5 s. Readers were found 150 ms later, but the watch still brought the next version whole: 430 kB with 3,240 routes, one more second of a link of 3.5 Mbit/s.

Change: such a relay gives its search for readers 500 ms first, as after the loss of its readers.

--- a/daemon/relay/test/large_start.test.ts
+++ b/daemon/relay/test/large_start.test.ts
@@ -1,11 +1,44 @@
 import {expect} from 'chai';
+import {setTimeout as pause} from 'node:timers/promises';
 import {
   createLargeConfig,
   FollowingDataCentre,
 } from './following_data_centre.js';
 
 const RECOVERY_MS = 15_000; // bound of the users' deployments
-const BUSY_THIN_BYTES_PER_S = 3.5e6 / 8 / 2;
+const THIN_BYTES_PER_S = 3.5e6 / 8;
+const CALLERS_SHARE = 0.5; // part of a busy link that requests take
+
+describe('relays that start on thin links', function () {
+  this.timeout(30_000);
+
+  it('guard against a second whole configuration at the first change after it', async () => {
+    const routeCount = 1600;
+    const dataCentre = new FollowingDataCentre({
+      wideCount: 2,
+      thinCount: 6,
+      thinBytesPerS: THIN_BYTES_PER_S,
+    });
+    try {
+      await dataCentre.start(createLargeConfig(1, routeCount));
+      await dataCentre.measureArrivalsMs(1, RECOVERY_MS);
+      const beforeBytes = dataCentre.receivedBytes();
+      for (let version = 2; version <= 8; version++) {
+        await pause(400);
+        dataCentre.store.putConfig(createLargeConfig(version, routeCount));
+      }
+      const wholeBytes = JSON.stringify(
+        createLargeConfig(1, routeCount).routes,
+      ).length;
+      const receivedBytes = dataCentre
+        .receivedBytes()
+        .map((bytes, relay) => bytes - beforeBytes[relay]!);
+      expect(Math.max(...receivedBytes)).to.be.below(wholeBytes / 4);
+    } finally {
+      await dataCentre.close();
+    }
+  });
+});
 
 describe('relays that start together on busy thin links', function () {
   this.timeout(30_000);
@@ -14,7 +47,7 @@
     const dataCentre = new FollowingDataCentre({
       wideCount: 0,
       thinCount: 16,
-      thinBytesPerS: BUSY_THIN_BYTES_PER_S,
+      thinBytesPerS: THIN_BYTES_PER_S * (1 - CALLERS_SHARE),
     });
     try {
       await dataCentre.start(createLargeConfig(1, 3240));
--- a/fleet/follower/src/source_follower.ts
+++ b/fleet/follower/src/source_follower.ts
@@ -54,6 +54,8 @@
   #isClosed = false;
   #needsFullRead = true;
   #wasFollowingReaders = false;
+  /** Whether a reader may be found before the next call to the source. */
+  #mayFindReader = false;
   #fullReadsUntilMs = -Infinity;
   /** Whether the source lacked the history at the last watch. */
   #isHistoryLost = false;
@@ -86,13 +88,17 @@
         this.#endOutage();
         this.#needsFullRead = false;
         this.#wasFollowingReaders = true;
+        this.#mayFindReader = true;
         await this.#sleep(Math.max(MIN_PAUSE_MS, freshForMs));
         continue;
       }
-      if (this.#wasFollowingReaders) {
+      if (this.#mayFindReader) {
+        this.#mayFindReader = false;
         if (await this.#findsReader()) {
           continue;
         }
+      }
+      if (this.#wasFollowingReaders) {
         this.#wasFollowingReaders = false;
         // A watch would send every version since then over the link, not just the newest one.
         this.#needsFullRead = true;
@@ -118,8 +124,9 @@
   }
 
   /**
-   * Waits until another reader is followed. Relays with a low-bandwidth link
-   * would otherwise all read the source in full because of a short disruption.
+   * Waits until a reader is followed. Relays with a low-bandwidth link would
+   * otherwise receive every version in full after their start, and read the
+   * source in full because of a short disruption of their readers.
    */
   async #findsReader(): Promise<boolean> {
     const {clock, hasLowBandwidthLink, readers} = this.#options;
@@ -140,6 +147,7 @@
     if (this.#needsFullRead) {
       const snapshot = await source.read();
       this.#endOutage();
+      this.#mayFindReader = state.config === undefined;
       state.applySnapshot(snapshot);
       this.#options.onContact?.();
       this.#needsFullRead = clock.monotonicMs() < this.#fullReadsUntilMs;
