fix(follower): ask two relays of other data centres at a time

What callers saw: as before, 404 for a route added more than 2.5 s before, when both readers of a data centre fall silent without closing their connections.

Cause: freshness ends 1.5 s after the last response of a reader, and one relay of another data centre was asked at a time. One that is silent as well takes 600 ms, so two of them use up what is left of 2.5 s.

Change: as many as in the own data centre, two, are asked at a time.

--- a/fleet/follower/src/reader_follower.ts
+++ b/fleet/follower/src/reader_follower.ts
@@ -119,7 +119,10 @@
     }
     const needsRemote =
       !this.#options.canBeReader && this.freshForMs < REMOTE_SEARCH_MS;
-    if (needsRemote && !followed.some(peer => peer.isRemote)) {
+    if (
+      needsRemote &&
+      followed.filter(peer => peer.isRemote).length < READER_COUNT
+    ) {
       const candidate = this.#chooseRemoteCandidate();
       if (candidate !== undefined) {
         void this.#follow(candidate, true);
--- a/fleet/follower/test/reader_follower.test.ts
+++ b/fleet/follower/test/reader_follower.test.ts
@@ -124,9 +124,15 @@
 
 /**
  * Starts the relays of a data centre; the first `candidateCount` of them have a
- * high-bandwidth link and can be readers.
+ * high-bandwidth link and can be readers. The last `remoteCount` relays are in
+ * another data centre and can be readers too.
  */
-function startDataCentre(count: number, candidateCount = READER_CANDIDATES) {
+function startDataCentre(
+  count: number,
+  candidateCount = READER_CANDIDATES,
+  remoteCount = 0,
+) {
+  const isRemote = (relay: number) => relay >= count - remoteCount;
   const clock = new ManualClock();
   const source = new SharedSource(clock);
   const stopped = new Set<number>();
@@ -145,6 +151,11 @@
       bornMs: 0,
     },
   }));
+  const addressesOfOthers = (relay: number, areRemote: boolean) =>
+    workers
+      .map((_, index) => index)
+      .filter(index => index !== relay && isRemote(index) === areRemote)
+      .map(addressOf);
   source.publish();
   const relays = workers.map((_, relay) => {
     const state = new MeshState({
@@ -182,13 +193,10 @@
       state,
       logger: silentLogger,
       fetchFeed,
-      canBeReader: relay < candidateCount,
+      canBeReader: relay < candidateCount || isRemote(relay),
       ownAddress: addressOf(relay),
-      peerAddresses: () =>
-        workers
-          .map((_, index) => addressOf(index))
-          .filter(address => address !== addressOf(relay)),
-      remotePeerAddresses: () => [],
+      peerAddresses: () => addressesOfOthers(relay, isRemote(relay)),
+      remotePeerAddresses: () => addressesOfOthers(relay, !isRemote(relay)),
       random,
     });
     const sourceFollower = new SourceFollower({
@@ -200,7 +208,7 @@
       peerAddresses: () => [],
       fetchFeed,
       readers: readerFollower,
-      hasLowBandwidthLink: relay >= candidateCount,
+      hasLowBandwidthLink: relay >= candidateCount && !isRemote(relay),
       onContact: () => feed.recordSourceContact(),
     });
     return {state, feed, readerFollower, sourceFollower};
@@ -345,6 +353,26 @@
     dataCentre.close();
   });
 
+  it('guards against a change that is delayed because most readers of the other data centre are silent too', async () => {
+    for (let silentMs = 0; silentMs < 2400; silentMs += 200) {
+      const dataCentre = startDataCentre(11, READER_CANDIDATES, 3);
+      await dataCentre.clock.advanceAsync(START_MS);
+      dataCentre.stopped.add(0).add(1).add(8).add(9);
+      // A full read over a low-bandwidth link takes too long.
+      [2, 3, 4, 5, 6, 7].forEach(relay =>
+        dataCentre.source.unresponsiveFor.add(relay),
+      );
+      await dataCentre.clock.advanceAsync(silentMs);
+      dataCentre.source.publish();
+      await dataCentre.clock.advanceAsync(MAX_PROPAGATION_MS);
+      expect(
+        new Set(dataCentre.versions().slice(2, 8)),
+        `readers silent for ${silentMs} ms`,
+      ).to.deep.equal(new Set([dataCentre.source.version]));
+      dataCentre.close();
+    }
+  });
+
   it('guards against a change that is delayed because the source responds to neither reader', async () => {
     const dataCentre = startDataCentre(8);
     await dataCentre.clock.advanceAsync(START_MS);
