fix(follower): start a relay on a thin link from the state of a peer

Cause: a relay read the whole store at each start, over 430 kB with 3,240 routes, although the settings name peers that have the same state.

Change: a relay on a thin link whose settings name seeds asks two of them for their state first, for 400 ms at most. It then follows readers, or watches the store from the revision that it got, so the state of a peer that lags is brought up to date like any other. The first start of the whole system has no seeds and reads the store.

--- a/daemon/relay/test/following_data_centre.ts
+++ b/daemon/relay/test/following_data_centre.ts
@@ -113,6 +113,16 @@
     return this.#thinRelays().map(({link}) => link.receivedBytes);
   }
 
+  /** Starts a relay again, without what it knew but with some of its peers as seeds. */
+  async restartRelay(
+    relay: number,
+    seedRelays: readonly number[],
+  ): Promise<void> {
+    this.#relays[relay]!.close();
+    const seeds = seedRelays.map(controlAddressOf);
+    this.#relays[relay] = await this.#startRelay(relay, seeds);
+  }
+
   /** Ends a relay's process. */
   stopRelay(relay: number): void {
     this.#relays[relay]!.close();
@@ -159,7 +169,10 @@
     return relay >= wideCount && relay < wideCount + thinCount;
   }
 
-  async #startRelay(relay: number): Promise<FollowingRelay> {
+  async #startRelay(
+    relay: number,
+    seedAddresses: readonly string[] = [],
+  ): Promise<FollowingRelay> {
     const clock = new SystemClock();
     const random = new SeededRandom(relay + 1);
     const isWide = !this.#isThin(relay);
@@ -213,7 +226,7 @@
       }),
       state,
       logger: silentLogger,
-      peerAddresses,
+      peerAddresses: () => (state.config ? peerAddresses() : seedAddresses),
       fetchFeed,
       readers: readerFollower,
       hasLowBandwidthLink: !isWide,
--- a/daemon/relay/test/large_start.test.ts
+++ b/daemon/relay/test/large_start.test.ts
@@ -6,9 +6,16 @@
 } from './following_data_centre.js';
 
 const RECOVERY_MS = 15_000; // bound of the users' deployments
+const CONFIG_APPLY_MS = 2500; // bound of the users' larger deployments
+const STATE_FROM_PEER_MS = 700; // less than a full read over an idle thin link
 const THIN_BYTES_PER_S = 3.5e6 / 8;
 const CALLERS_SHARE = 0.5; // part of a busy link that requests take
 
+/** Size of a configuration as JSON; smaller than a full read of the source. */
+function wholeBytesOf(routeCount: number): number {
+  return JSON.stringify(createLargeConfig(1, routeCount).routes).length;
+}
+
 describe('relays that start on thin links', function () {
   this.timeout(30_000);
 
@@ -27,19 +34,55 @@
         await pause(400);
         dataCentre.store.putConfig(createLargeConfig(version, routeCount));
       }
-      const wholeBytes = JSON.stringify(
-        createLargeConfig(1, routeCount).routes,
-      ).length;
       const receivedBytes = dataCentre
         .receivedBytes()
         .map((bytes, relay) => bytes - beforeBytes[relay]!);
-      expect(Math.max(...receivedBytes)).to.be.below(wholeBytes / 4);
+      expect(Math.max(...receivedBytes)).to.be.below(
+        wholeBytesOf(routeCount) / 4,
+      );
     } finally {
       await dataCentre.close();
     }
   });
 });
 
+describe('relay that starts again on a thin link', function () {
+  this.timeout(20_000);
+
+  for (const [peers, seeds] of Object.entries({
+    'peers that have it': [3, 4],
+    'a seed that has ended and one that has it': [7, 3],
+  })) {
+    it(`guards against reading the whole source beside ${peers}`, async () => {
+      const routeCount = 3240;
+      const dataCentre = new FollowingDataCentre({
+        wideCount: 2,
+        thinCount: 6,
+        thinBytesPerS: THIN_BYTES_PER_S,
+      });
+      try {
+        await dataCentre.start(createLargeConfig(1, routeCount));
+        await dataCentre.untilFollowing(1, RECOVERY_MS);
+        dataCentre.stopRelay(7);
+        await dataCentre.restartRelay(2, seeds);
+        const [arrivalMs] = await dataCentre.measureArrivalsMs(1, RECOVERY_MS);
+        expect(arrivalMs).to.be.below(STATE_FROM_PEER_MS);
+        await pause(1000);
+        const [receivedBytes] = dataCentre.receivedBytes();
+        expect(receivedBytes).to.be.below(wholeBytesOf(routeCount) / 4);
+        dataCentre.store.putConfig(createLargeConfig(2, routeCount));
+        const arrivalsMs = await dataCentre.measureArrivalsMs(
+          2,
+          CONFIG_APPLY_MS,
+        );
+        expect(arrivalsMs[0]).to.be.below(CONFIG_APPLY_MS);
+      } finally {
+        await dataCentre.close();
+      }
+    });
+  }
+});
+
 describe('relays that start together on busy thin links', function () {
   this.timeout(30_000);
 
--- a/fleet/follower/src/source_follower.ts
+++ b/fleet/follower/src/source_follower.ts
@@ -5,6 +5,7 @@
 
 const WATCH_WAIT_MS = 2500; // an unresponsive connection is noticed within twice the limit for a drain
 const READER_WAIT_MS = 600; // shorter for readers, so that their followers notice an unresponsive source within 1.2 s
+const PEER_START_MS = 400; // a full read over a low-bandwidth link takes longer
 const READER_SEARCH_MS = 500; // a few polls; a full read over a low-bandwidth link takes longer
 const MIN_PAUSE_MS = 20; // the freshness of readers is checked no more often
 const CATCH_UP_MS = 2000; // covers several changes of a burst; a watch then shows whether the burst is over
@@ -82,6 +83,7 @@
 
   /** Follows the source until `close`. */
   async run(): Promise<void> {
+    await this.#startFromPeers();
     while (!this.#isClosed) {
       const {freshForMs} = this.#options.readers;
       if (this.#options.state.config && freshForMs > 0) {
@@ -116,6 +118,30 @@
     }
   }
 
+  /**
+   * Gets the state of a peer, if this relay knows one at its start. It is a tenth
+   * of what a full read sends over a low-bandwidth link; changes since then come
+   * from the readers or from the source.
+   */
+  async #startFromPeers(): Promise<void> {
+    const {hasLowBandwidthLink, state} = this.#options;
+    const peers = hasLowBandwidthLink ? this.#choosePeers() : [];
+    if (peers.length === 0) {
+      return;
+    }
+    const isDone = Promise.any(
+      peers.map(async peer => {
+        await this.#pollPeer(peer);
+        if (!state.config) {
+          throw new Error(`no configuration from peer ${peer}`);
+        }
+      }),
+    ).catch(() => {});
+    await Promise.race([isDone, this.#sleep(PEER_START_MS)]);
+    this.#mayFindReader = state.config !== undefined;
+    this.#needsFullRead = !this.#mayFindReader;
+  }
+
   close(): void {
     this.#isClosed = true;
     this.#peerRoundTimer?.cancel();
@@ -231,17 +257,23 @@
   }
 
   #pollPeers(): void {
-    const {clock, random, peerAddresses} = this.#options;
-    const peers = [...peerAddresses()];
-    for (let count = 0; count < PEERS_PER_ROUND && peers.length > 0; count++) {
-      const [peer] = peers.splice(random.nextInt(peers.length), 1);
-      void this.#pollPeer(peer!);
-    }
-    this.#peerRoundTimer = clock.setTimer(PEER_INTERVAL_MS, () =>
+    this.#choosePeers().forEach(peer => void this.#pollPeer(peer));
+    this.#peerRoundTimer = this.#options.clock.setTimer(PEER_INTERVAL_MS, () =>
       this.#pollPeers(),
     );
   }
 
+  /** Returns some peers at random, fewer than `PEERS_PER_ROUND` if there are not as many. */
+  #choosePeers(): string[] {
+    const {random, peerAddresses} = this.#options;
+    const peers = [...peerAddresses()];
+    const chosen: string[] = [];
+    while (chosen.length < PEERS_PER_ROUND && peers.length > 0) {
+      chosen.push(...peers.splice(random.nextInt(peers.length), 1));
+    }
+    return chosen;
+  }
+
   async #pollPeer(address: string): Promise<void> {
     const {state, logger, fetchFeed} = this.#options;
     const {revision} = state;
