--- a/fleet/follower/src/feed_client.ts
+++ b/fleet/follower/src/feed_client.ts
@@ -1,8 +1,10 @@
 import {httpGet} from '@carobseam/core.http_get';
 import http from 'node:http';
+import {gunzipSync} from 'node:zlib';
 import {
   encodeFeedRequest,
   FEED_PATH,
+  GZIP,
   type FeedRequest,
   type FeedResponse,
 } from './feed_message.js';
@@ -19,22 +21,39 @@
    * Sends one poll and returns the response.
    *
    * @param address control address of the peer.
-   * @throws Error when the peer does not respond in time.
+   * @param onProgress called when a part of the response has arrived.
+   * @throws Error when the peer does not respond in time or its response cannot be
+   *     decoded.
    */
-  async fetch(address: string, request: FeedRequest): Promise<FeedResponse> {
-    const {status, body} = await httpGet({
+  async fetch(
+    address: string,
+    request: FeedRequest,
+    onProgress?: () => void,
+  ): Promise<FeedResponse> {
+    const startMs = performance.now();
+    const {status, headers, body} = await httpGet({
       address,
       path: `${FEED_PATH}?${encodeFeedRequest(request)}`,
       agent: this.#agent,
+      headers: {'Accept-Encoding': GZIP},
       timeoutMs:
         request.waitMs +
         (request.acceptsWhole ? FULL_STATE_TIMEOUT_MS : RESPONSE_TIMEOUT_MS),
       maxBytes: MAX_RESPONSE_BYTES,
+      onProgress,
     });
     if (status !== 200) {
       throw new Error(`peer ${address} responded with status ${status}`);
     }
-    return JSON.parse(body.toString('utf8')) as FeedResponse;
+    const isCompressed = headers['content-encoding'] === GZIP;
+    const json = isCompressed
+      ? gunzipSync(body, {maxOutputLength: MAX_RESPONSE_BYTES})
+      : body;
+    const response = JSON.parse(json.toString('utf8')) as FeedResponse;
+    const durationMs = Math.round(performance.now() - startMs);
+    const transferMs = Math.max(0, durationMs - (response.heldMs ?? 0));
+    const configAgeMs = (response.configAgeMs ?? 0) + transferMs;
+    return {...response, transferMs, configAgeMs};
   }
 
   close(): void {
--- a/fleet/follower/src/feed_message.ts
+++ b/fleet/follower/src/feed_message.ts
@@ -26,11 +26,18 @@
   readers: readonly string[];
   /** Time since the source last responded to the responding relay, in ms. */
   contactAgeMs: number;
+  /** How long the responding relay held the poll, in ms. */
+  heldMs?: number;
+  /** How long the poll took beyond `heldMs`, in ms; set by the requester. */
+  transferMs?: number;
 }
 
 /** HTTP path of the change feed that each relay serves to its peers. */
 export const FEED_PATH = '/changes';
 
+/** Content coding of large responses; relays that do not ask for it get none. */
+export const GZIP = 'gzip';
+
 /** Encodes a request as a query string. */
 export function encodeFeedRequest(request: FeedRequest): URLSearchParams {
   const query = new URLSearchParams();
@@ -55,8 +62,13 @@
   };
 }
 
-/** Polls the peer with the given control address for changes. */
+/**
+ * Polls the peer with the given control address for changes.
+ *
+ * @param onProgress called when a part of the response has arrived.
+ */
 export type FetchFeed = (
   address: string,
   request: FeedRequest,
+  onProgress?: () => void,
 ) => Promise<FeedResponse>;
