fix(follower): take a state for the newest only after a contact with its source

Cause: a relay that starts from the state of a peer answered 404 for a missing route before readers or the store had responded to it, although that peer may lag. A failed call counted as loss of contact, a call without a response did not.

Change: whether the state is current follows from the last contact. Readers or a response of the store establish it; a failed call, a lost history and the loss of all readers end it. The log says whether a relay of another data centre is left because the own data centre has a reader again.

Result: the test with a source that does not respond took the state of the peer for the newest before, and does not now.

--- a/fleet/follower/src/reader_follower.ts
+++ b/fleet/follower/src/reader_follower.ts
@@ -188,16 +188,9 @@
     const {logger, state} = this.#options;
     const peer: FollowedPeer = {address, isRemote, freshUntilMs: 0};
     this.#followed.set(address, peer);
-    let cause = 'closed';
+    let cause: string;
     try {
-      while (
-        !this.#isClosed &&
-        !(isRemote && this.#hasLocalReader()) &&
-        (await this.#poll(peer))
-      ) {
-        // Each poll waits for the next change.
-      }
-      cause = 'no reader or no need of it';
+      cause = await this.#pollWhileUsable(peer);
     } catch (error) {
       // The search selects another peer.
       cause = error instanceof Error ? error.message : String(error);
@@ -213,6 +206,23 @@
     }
   }
 
+  /**
+   * Polls a peer again and again; each poll waits for the next change.
+   *
+   * @return why the peer is not followed any more.
+   */
+  async #pollWhileUsable(peer: FollowedPeer): Promise<string> {
+    while (!this.#isClosed) {
+      if (peer.isRemote && this.#hasLocalReader()) {
+        return 'follows a reader of its own data centre';
+      }
+      if (!(await this.#poll(peer))) {
+        return 'no reader';
+      }
+    }
+    return 'closed';
+  }
+
   /**
    * Delays the next poll of a peer. The delay doubles each time that the peer
    * turns out not to be a usable reader.
--- a/fleet/follower/src/source_follower.ts
+++ b/fleet/follower/src/source_follower.ts
@@ -60,6 +60,8 @@
   #fullReadsUntilMs = -Infinity;
   /** Whether the source lacked the history at the last watch. */
   #isHistoryLost = false;
+  /** Whether the source responded to the last call; false while readers are followed. */
+  #hasSourceContact = false;
   #failureCount = 0;
   #failingSinceMs = 0;
   #peerRoundTimer?: Timer;
@@ -70,15 +72,11 @@
   }
 
   /**
-   * Whether the state is known to be the newest: readers send the changes, or a
-   * call waits for them at the source.
+   * Whether the state is known to be the newest: readers send the changes, or
+   * the last call of the source succeeded and the next one waits for them.
    */
   get isCurrent(): boolean {
-    const isWatching = this.#failureCount === 0 && !this.#needsFullRead;
-    return (
-      this.#options.readers.freshForMs > 0 ||
-      (isWatching && !this.#wasFollowingReaders)
-    );
+    return this.#options.readers.freshForMs > 0 || this.#hasSourceContact;
   }
 
   /** Follows the source until `close`. */
@@ -91,6 +89,7 @@
         this.#needsFullRead = false;
         this.#wasFollowingReaders = true;
         this.#mayFindReader = true;
+        this.#hasSourceContact = false;
         await this.#sleep(Math.max(MIN_PAUSE_MS, freshForMs));
         continue;
       }
@@ -175,7 +174,7 @@
       this.#endOutage();
       this.#mayFindReader = state.config === undefined;
       state.applySnapshot(snapshot);
-      this.#options.onContact?.();
+      this.#recordContact();
       this.#needsFullRead = clock.monotonicMs() < this.#fullReadsUntilMs;
       if (this.#needsFullRead) {
         await this.#sleep(BATCH_MS);
@@ -193,6 +192,7 @@
         outcome: 'reads everything',
       });
       this.#needsFullRead = true;
+      this.#hasSourceContact = false;
       if (isRepeated) {
         await this.#sleep(BATCH_MS);
       }
@@ -200,7 +200,7 @@
     }
     this.#isHistoryLost = false;
     state.applyChanges(changes);
-    this.#options.onContact?.();
+    this.#recordContact();
     if (
       this.#options.hasLowBandwidthLink &&
       (changes.configVersionCount ?? 1) > 1
@@ -214,6 +214,11 @@
     }
   }
 
+  #recordContact(): void {
+    this.#hasSourceContact = true;
+    this.#options.onContact?.();
+  }
+
   /** Ends an outage, if there is one: the source responds again, or the state from readers is fresh. */
   #endOutage(): void {
     if (this.#failureCount === 0) {
@@ -237,6 +242,7 @@
       return;
     }
     this.#options.onCall?.('failed');
+    this.#hasSourceContact = false;
     this.#failureCount++;
     if (this.#failureCount === 1) {
       this.#failingSinceMs = this.#options.clock.monotonicMs();
--- a/fleet/follower/test/source_follower.test.ts
+++ b/fleet/follower/test/source_follower.test.ts
@@ -102,8 +102,9 @@
   });
   void follower.run();
   await clock.advanceAsync(durationMs);
+  const {isCurrent} = follower;
   follower.close();
-  return {state, source, polledPeers};
+  return {state, source, polledPeers, isCurrent};
 }
 
 describe('SourceFollower', () => {
@@ -173,6 +174,19 @@
     expect(new Set(polledPeers).size).to.be.above(1);
   });
 
+  it('guards against taking the state of a peer for the newest before the source has responded', async () => {
+    const peerState = createChanges(8, 3) as MeshSnapshot;
+    const noResponse: ScriptedResponse = () => new Promise(() => {});
+    for (const [responses, isCurrent] of [
+      [[noResponse], false],
+      [[respondWith(9, 4)], true],
+    ] as const) {
+      const result = await runFollower([...responses], 1500, peerState, true);
+      expect(result.state.config?.version).to.equal(isCurrent ? 4 : 3);
+      expect(result.isCurrent).to.equal(isCurrent);
+    }
+  });
+
   it('polls no peer while the source responds', async () => {
     const {polledPeers} = await runFollower(
       [respondWith(4, 1), respondWith(5, 2)],
