--- a/daemon/relay/test/large_start.test.ts
+++ b/daemon/relay/test/large_start.test.ts
@@ -3,6 +3,7 @@
 import {
   createLargeConfig,
   FollowingDataCentre,
+  type FollowingDataCentreOptions,
 } from './following_data_centre.js';
 
 const RECOVERY_MS = 15_000; // bound of the users' deployments
@@ -16,18 +17,31 @@
   return JSON.stringify(createLargeConfig(1, routeCount).routes).length;
 }
 
+async function withDataCentre(
+  options: Partial<FollowingDataCentreOptions>,
+  routeCount: number,
+  run: (dataCentre: FollowingDataCentre) => Promise<void>,
+): Promise<void> {
+  const dataCentre = new FollowingDataCentre({
+    wideCount: 2,
+    thinCount: 6,
+    thinBytesPerS: THIN_BYTES_PER_S,
+    ...options,
+  });
+  try {
+    await dataCentre.start(createLargeConfig(1, routeCount));
+    await run(dataCentre);
+  } finally {
+    await dataCentre.close();
+  }
+}
+
 describe('relays that start on thin links', function () {
   this.timeout(30_000);
 
   it('guard against a second whole configuration at the first change after it', async () => {
     const routeCount = 1600;
-    const dataCentre = new FollowingDataCentre({
-      wideCount: 2,
-      thinCount: 6,
-      thinBytesPerS: THIN_BYTES_PER_S,
-    });
-    try {
-      await dataCentre.start(createLargeConfig(1, routeCount));
+    await withDataCentre({}, routeCount, async dataCentre => {
       await dataCentre.measureArrivalsMs(1, RECOVERY_MS);
       const beforeBytes = dataCentre.receivedBytes();
       for (let version = 2; version <= 8; version++) {
@@ -40,9 +54,7 @@
       expect(Math.max(...receivedBytes)).to.be.below(
         wholeBytesOf(routeCount) / 4,
       );
-    } finally {
-      await dataCentre.close();
-    }
+    });
   });
 });
 
@@ -55,13 +67,7 @@
   })) {
     it(`guards against reading the whole source beside ${peers}`, async () => {
       const routeCount = 3240;
-      const dataCentre = new FollowingDataCentre({
-        wideCount: 2,
-        thinCount: 6,
-        thinBytesPerS: THIN_BYTES_PER_S,
-      });
-      try {
-        await dataCentre.start(createLargeConfig(1, routeCount));
+      await withDataCentre({}, routeCount, async dataCentre => {
         await dataCentre.untilFollowing(1, RECOVERY_MS);
         dataCentre.stopRelay(7);
         await dataCentre.restartRelay(2, seeds);
@@ -76,9 +82,7 @@
           CONFIG_APPLY_MS,
         );
         expect(arrivalsMs[0]).to.be.below(CONFIG_APPLY_MS);
-      } finally {
-        await dataCentre.close();
-      }
+      });
     });
   }
 });
@@ -87,17 +91,14 @@
   this.timeout(30_000);
 
   it('guard against a configuration that never arrives because reading it takes longer than one time limit', async () => {
-    const dataCentre = new FollowingDataCentre({
+    const options = {
       wideCount: 0,
       thinCount: 16,
       thinBytesPerS: THIN_BYTES_PER_S * (1 - CALLERS_SHARE),
-    });
-    try {
-      await dataCentre.start(createLargeConfig(1, 3240));
+    };
+    await withDataCentre(options, 3240, async dataCentre => {
       const arrivalsMs = await dataCentre.measureArrivalsMs(1, RECOVERY_MS);
       expect(Math.max(...arrivalsMs)).to.be.below(RECOVERY_MS);
-    } finally {
-      await dataCentre.close();
-    }
+    });
   });
 });
