test(relay): wait until callers have left instead of for 800 ms

The test assumes that the callers' thread sends and leaves within the 800 ms for which the event loop is blocked. With the thread delayed by 1 s the test fails in just that way, 20 of 20, although the requests are then read when they arrive and their callers have not left.

Change: the event loop stays blocked until the callers have left, for 5 s at most. What is checked is unchanged.

--- a/calls/relay/test/late_reads.test.ts
+++ b/calls/relay/test/late_reads.test.ts
@@ -12,6 +12,8 @@
 const BLOCKED_MS = 800; // one turn of the event loop, or a pause of the process
 const LEAVE_AFTER_MS = 100;
 
+const MAX_BLOCKED_MS = 5000;
+
 /**
  * Callers in a thread of their own. Each has a connection, kept or new, sends a
  * request on it when it gets a message, and closes it `leaveAfterMs` later.
@@ -19,7 +21,7 @@
 const CALLERS_CODE = `
 const net = require('node:net');
 const {parentPort, workerData} = require('node:worker_threads');
-const {host, port, count, isKept, leaveAfterMs} = workerData;
+const {host, port, count, isKept, leaveAfterMs, left} = workerData;
 const text = id => 'GET / HTTP/1.1\\r\\nHost: a.example\\r\\nx-id: ' + id + '\\r\\n\\r\\n';
 const connect = () => {
   const socket = net.connect({host, port});
@@ -31,6 +33,7 @@
   for (let index = 0; index < count; index++) {
     const socket = isKept ? sockets[index] : connect();
     socket.write(text('late-' + index));
+    socket.once('close', () => Atomics.add(left, 0, 1));
     setTimeout(() => socket.destroySoon(), leaveAfterMs);
   }
 };
@@ -48,14 +51,22 @@
 }
 `;
 
+interface Callers {
+  thread: Worker;
+  /** Number of callers that have closed their connections. */
+  countLeft: () => number;
+}
+
 function startCallers(
   port: number,
   options: {isKept: boolean; leaveAfterMs: number},
-): Worker {
-  return new Worker(CALLERS_CODE, {
+): Callers {
+  const left = new Int32Array(new SharedArrayBuffer(4));
+  const thread = new Worker(CALLERS_CODE, {
     eval: true,
-    workerData: {host: HOST, port, count: CALLERS, ...options},
+    workerData: {host: HOST, port, count: CALLERS, left, ...options},
   });
+  return {thread, countLeft: () => Atomics.load(left, 0)};
 }
 
 async function listen(handler: http.RequestListener) {
@@ -67,13 +78,23 @@
 
 const pass = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
-/** Has the callers send while the event loop does not read for a while. */
-async function sendWhileBlocked(callers: Worker): Promise<void> {
-  await once(callers, 'message');
+/**
+ * Has the callers send while the event loop does not read for a while, and until
+ * `leaving` of them have left: their thread may get its processor late.
+ */
+async function sendWhileBlocked(
+  {thread, countLeft}: Callers,
+  leaving: number,
+): Promise<void> {
+  await once(thread, 'message');
   await pass(50);
-  callers.postMessage('send');
-  const endMs = performance.now() + BLOCKED_MS;
-  while (performance.now() < endMs) {
+  thread.postMessage('send');
+  const startMs = performance.now();
+  const blockedMs = () => performance.now() - startMs;
+  while (
+    blockedMs() < BLOCKED_MS ||
+    (countLeft() < leaving && blockedMs() < MAX_BLOCKED_MS)
+  ) {
     // Uses the processor.
   }
   await pass(500);
@@ -104,8 +125,8 @@
       isKept: true,
       leaveAfterMs: LEAVE_AFTER_MS,
     });
-    await sendWhileBlocked(callers);
-    await callers.terminate();
+    await sendWhileBlocked(callers, CALLERS);
+    await callers.thread.terminate();
     server.closeAllConnections();
     server.close();
     expect(ran.length + dropped.length).to.equal(CALLERS * 2);
@@ -130,8 +151,8 @@
     server.on('connection', socket => probe.connectionAccepted(socket));
     const callers = startCallers(port, {isKept: false, leaveAfterMs: 5000});
     const sentMs = epochMs() + 50;
-    await sendWhileBlocked(callers);
-    await callers.terminate();
+    await sendWhileBlocked(callers, 0);
+    await callers.thread.terminate();
     probe.close();
     server.closeAllConnections();
     server.close();
