refactor(follower): one step for both searches, one constant for the longest pause

Cause: read again, the search for readers counted and followed peers twice in the same way, for the own data centre and for others; the time for which a part of a response keeps its reader fresh repeated the limit for pauses of httpGet; two tests computed the size of a configuration and the bytes received alike.

Change: `#followOneMore` serves both places, `MAX_PAUSE_MS` is exported and used, the fixture has `wholeBytesOf` and `maxReceivedSince`. No change of behaviour; checks, bounds and expectations are the same.

--- a/core/http_get/src/http_get.ts
+++ b/core/http_get/src/http_get.ts
@@ -2,7 +2,8 @@
 import http from 'node:http';
 
 const MAX_INTERIM_RESPONSES = 100; // the servers that are read send none
-const MAX_PAUSE_MS = 1000; // a link on which packets wait for half a second still delivers some
+/** Longest pause in a response before it fails, in ms. */
+export const MAX_PAUSE_MS = 1000; // a link on which packets wait for half a second still delivers some
 const MAX_TRANSFER_MS = 10_000; // 2 MB over a half used link of 3.5 Mbit/s
 
 /** Options of `httpGet`. */
--- a/daemon/relay/test/following_data_centre.ts
+++ b/daemon/relay/test/following_data_centre.ts
@@ -113,12 +113,21 @@
     return this.#thinRelays().map(({link}) => link.receivedBytes);
   }
 
+  /** The most bytes that a thin relay has received since an earlier count. */
+  maxReceivedSince(beforeBytes: readonly number[]): number {
+    return Math.max(
+      ...this.receivedBytes().map(
+        (bytes, relay) => bytes - beforeBytes[relay]!,
+      ),
+    );
+  }
+
   /** Starts a relay again, without what it knew but with some of its peers as seeds. */
   async restartRelay(
     relay: number,
     seedRelays: readonly number[],
   ): Promise<void> {
-    this.#relays[relay]!.close();
+    this.stopRelay(relay);
     const seeds = seedRelays.map(controlAddressOf);
     this.#relays[relay] = await this.#startRelay(relay, seeds);
   }
@@ -295,6 +304,11 @@
   };
 }
 
+/** Size of a configuration as JSON; smaller than a full read of the source. */
+export function wholeBytesOf(routeCount: number): number {
+  return JSON.stringify(createLargeConfig(1, routeCount).routes).length;
+}
+
 function createWorker(relay: number, dataCentre: DataCentreName): MeshWorker {
   return {
     id: `i-${relay}` as WorkerId,
--- a/daemon/relay/test/large_change.test.ts
+++ b/daemon/relay/test/large_change.test.ts
@@ -3,6 +3,7 @@
 import {
   createLargeConfig,
   FollowingDataCentre,
+  wholeBytesOf,
 } from './following_data_centre.js';
 
 const CONFIG_APPLY_MS = 2500; // bound of the users' larger deployments
@@ -14,11 +15,6 @@
 const SETTLE_TIMEOUT_MS = 8000;
 const OWN_WATCH_MS = 2700; // until a relay that follows readers has no watch of its own any more
 
-/** Size of the initial configuration in the store; smaller than any full read. */
-function fullReadBytes(): number {
-  return JSON.stringify(createLargeConfig(1, INITIAL_ROUTES).routes).length;
-}
-
 describe('relays on thin links', function () {
   this.timeout(20_000);
   let dataCentre: FollowingDataCentre;
@@ -70,22 +66,19 @@
     dataCentre.blockLink(0, 1800);
     dataCentre.blockLink(1, 1800);
     await pause(4000);
-    expect(maxReceivedSince(beforeBytes)).to.be.below(fullReadBytes() / 4);
+    expect(dataCentre.maxReceivedSince(beforeBytes)).to.be.below(
+      wholeBytesOf(INITIAL_ROUTES) / 4,
+    );
   });
 
   it('guard against reading everything beside a change that arrives slowly', async () => {
     const beforeBytes = dataCentre.receivedBytes();
     dataCentre.setThinBytesPerS(THIN_BYTES_PER_S * (1 - BUSIEST_CALLERS_SHARE));
     await measureLargeChangeMs(SETTLE_TIMEOUT_MS);
-    expect(maxReceivedSince(beforeBytes)).to.be.below(fullReadBytes() / 2);
-  });
-
-  function maxReceivedSince(beforeBytes: readonly number[]): number {
-    const received = dataCentre.receivedBytes();
-    return Math.max(
-      ...received.map((bytes, relay) => bytes - beforeBytes[relay]!),
+    expect(dataCentre.maxReceivedSince(beforeBytes)).to.be.below(
+      wholeBytesOf(INITIAL_ROUTES) / 2,
     );
-  }
+  });
 
   /** Adds routes and returns the time until the last relay has them, in ms. */
   async function measureLargeChangeMs(
--- a/daemon/relay/test/large_start.test.ts
+++ b/daemon/relay/test/large_start.test.ts
@@ -4,6 +4,7 @@
   createLargeConfig,
   FollowingDataCentre,
   type FollowingDataCentreOptions,
+  wholeBytesOf,
 } from './following_data_centre.js';
 
 const RECOVERY_MS = 15_000; // bound of the users' deployments
@@ -12,11 +13,6 @@
 const THIN_BYTES_PER_S = 3.5e6 / 8;
 const CALLERS_SHARE = 0.5; // part of a busy link that requests take
 
-/** Size of a configuration as JSON; smaller than a full read of the source. */
-function wholeBytesOf(routeCount: number): number {
-  return JSON.stringify(createLargeConfig(1, routeCount).routes).length;
-}
-
 async function withDataCentre(
   options: Partial<FollowingDataCentreOptions>,
   routeCount: number,
@@ -48,10 +44,7 @@
         await pause(400);
         dataCentre.store.putConfig(createLargeConfig(version, routeCount));
       }
-      const receivedBytes = dataCentre
-        .receivedBytes()
-        .map((bytes, relay) => bytes - beforeBytes[relay]!);
-      expect(Math.max(...receivedBytes)).to.be.below(
+      expect(dataCentre.maxReceivedSince(beforeBytes)).to.be.below(
         wholeBytesOf(routeCount) / 4,
       );
     });
--- a/fleet/follower/src/reader_follower.ts
+++ b/fleet/follower/src/reader_follower.ts
@@ -1,4 +1,5 @@
 import type {MeshState} from '@carobseam/config.mesh';
+import {MAX_PAUSE_MS} from '@carobseam/core.http_get';
 import type {Logger} from '@carobseam/core.logger';
 import type {Clock, RandomSource} from '@carobseam/core.types';
 import type {FetchFeed} from './feed_message.js';
@@ -7,7 +8,6 @@
 const MIN_PEERS = 5; // with fewer, readers save too few calls to justify the delay that they add to changes
 const POLL_WAIT_MS = 1500; // longer than the interval at which the source responds to readers
 const FRESH_MS = 1500; // covers two contacts with the source and a batch delay; well below the limit of 2.5 s for a change
-const TRANSFER_FRESH_MS = 1000; // the longest pause in a response before its poll fails
 const SEARCH_INTERVAL_MS = 150; // all relays of a data centre of 20 are tried in 3 s
 const REMOTE_SEARCH_MS = 200; // of freshness left; readers in good health renew it before
 const FIRST_BACKOFF_MS = 300; // before a reader that did not respond is polled again
@@ -110,27 +110,29 @@
       return;
     }
     this.#logRoleChange();
-    const followed = [...this.#followed.values()];
-    if (followed.filter(peer => !peer.isRemote).length < READER_COUNT) {
-      const [candidate] = this.#listCandidates();
-      if (candidate !== undefined) {
-        void this.#follow(candidate, false);
-      }
-    }
-    const needsRemote =
-      !this.#options.canBeReader && this.freshForMs < REMOTE_SEARCH_MS;
-    if (
-      needsRemote &&
-      followed.filter(peer => peer.isRemote).length < READER_COUNT
-    ) {
-      const candidate = this.#chooseRemoteCandidate();
-      if (candidate !== undefined) {
-        void this.#follow(candidate, true);
-      }
+    this.#followOneMore(false);
+    if (!this.#options.canBeReader && this.freshForMs < REMOTE_SEARCH_MS) {
+      this.#followOneMore(true);
     }
     this.#options.clock.setTimer(SEARCH_INTERVAL_MS, () => this.#search());
   }
 
+  /** Follows one more peer of the own or of other data centres if there are too few. */
+  #followOneMore(isRemote: boolean): void {
+    const followed = [...this.#followed.values()].filter(
+      peer => peer.isRemote === isRemote,
+    );
+    if (followed.length >= READER_COUNT) {
+      return;
+    }
+    const candidate = isRemote
+      ? this.#chooseRemoteCandidate()
+      : this.#listCandidates()[0];
+    if (candidate !== undefined) {
+      void this.#follow(candidate, isRemote);
+    }
+  }
+
   #logRoleChange(): void {
     const {logger, state} = this.#options;
     if (this.isReader !== this.#wasReader) {
@@ -293,7 +295,7 @@
     if (peer.run !== undefined) {
       peer.freshUntilMs = Math.max(
         peer.freshUntilMs,
-        this.#options.clock.monotonicMs() + TRANSFER_FRESH_MS,
+        this.#options.clock.monotonicMs() + MAX_PAUSE_MS,
       );
     }
   }
