fix(exchange): resume a connection whose large response has ended

Cause: a response body over 256 KB is streamed, and the connection is paused while its receiver is slower. A stream that has ended asks for no more data, so a connection whose last read filled the stream stayed paused and went back to the pool. Late bytes of the worker were not seen on such a connection either.

Change: the connection is resumed when the response has ended. Bytes that then arrive without a request close it, as on any other idle connection.

--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -299,6 +299,8 @@
     clearTimeout(current.silenceTimer);
     if (current.stream) {
       current.stream.push(null);
+      // A stream that has ended asks for no more data, so it would stay paused.
+      this.#socket.resume();
     } else {
       current.onResult({
         kind: 'response',
