feat(relay): refuse requests that crash workers

Cause: the relay had no quarantine; only the product's own daemon refused requests that crash workers.

Change: the decision moves out of the daemon's store into CrashMarks, which both use. A request is marked when the connections to its worker are lost and the worker then refuses connections. It is refused after two crashes (daemon) or three (relay) in a row, unless other requests that were in flight at these crashes at least as often, or a common cause, explain them; crashes that repeatedly marked requests explain do not count as a common cause, so that several deadly requests at once are found. Relays send marks to all relays of their data centre and to two of each other one, which pass them on; a relay that starts asks its peers. Nothing is sent or computed while no worker crashes. Refused with 422 and without Retry-After.

Measured: crashing_request.test.ts, crash_marks.test.ts and crash_mark_exchange.test.ts; the first two fail without the change (all workers crash; 1,375 harmless requests refused in 200 mixtures when only requests with more marks explain a crash).

--- a/calls/crash_marks/src/crash_log.ts
+++ b/calls/crash_marks/src/crash_log.ts
@@ -17,12 +17,10 @@
     }
   }
 
-  /** Counts the crashes from `startMs` to `endMs`, both included. */
-  countBetween(startMs: number, endMs: number): number {
-    let count = 0;
-    for (const seenMs of this.#seenMsById.values()) {
-      count += seenMs >= startMs && seenMs <= endMs ? 1 : 0;
-    }
-    return count;
+  /** Returns the crashes from `startMs` to `endMs`, both included. */
+  idsBetween(startMs: number, endMs: number): string[] {
+    return [...this.#seenMsById]
+      .filter(([, seenMs]) => seenMs >= startMs && seenMs <= endMs)
+      .map(([crashId]) => crashId);
   }
 }
--- a/calls/proxy/src/probes.ts
+++ b/calls/proxy/src/probes.ts
@@ -1,6 +1,6 @@
 import {callHeaders} from '@carobseam/calls.types';
+import {probeConnection} from '@carobseam/core.net';
 import {request} from 'node:http';
-import {connect} from 'node:net';
 
 /**
  * Result of a probe over a new connection, after a peer or worker did not
@@ -37,17 +37,9 @@
   target: ProbeTarget,
   onResult: (result: ProbeResult) => void,
 ): void {
-  const socket = connect(target.port, target.address);
-  const finish = (result: ProbeResult): void => {
-    socket.removeAllListeners();
-    socket.on('error', () => {});
-    socket.destroy();
-    onResult(result);
-  };
-  socket.setTimeout(PROBE_TIMEOUT_MS);
-  socket.once('timeout', () => finish('silent'));
-  socket.once('error', () => finish('refused'));
-  socket.once('connect', () => finish('working'));
+  void probeConnection(target.address, target.port, PROBE_TIMEOUT_MS).then(
+    result => onResult(result === 'open' ? 'working' : result),
+  );
 }
 
 /** Asks a peer over a new connection whether it still works on a call. */
--- a/calls/relay/src/attempt.ts
+++ b/calls/relay/src/attempt.ts
@@ -25,6 +25,8 @@
   context: RelayContext;
   request: DispatchedRequest;
   worker: MeshWorker;
+  /** Whether an attempt at another worker has failed before. */
+  isResent: boolean;
   /**
    * Called repeatedly while the hop to the worker's relay is silent.
    *
@@ -83,6 +85,7 @@
       headers: [...request.headers, wireHeaders.expectedWorker, id],
       body: request.body,
       requestId: request.id,
+      isResent: this.#options.isResent,
       hasSenderLeft: request.hasCallerLeft,
     });
     this.#cancel = () => ticket.cancel();
@@ -114,6 +117,7 @@
       hopHeaders.sentAt,
       context.hopStamps.stamp(),
       ...encodeKnownRateLimit(limitPerS),
+      ...(this.#options.isResent ? [hopHeaders.resent, '1'] : []),
     ];
   }
 
--- a/calls/relay/src/attempt_result.ts
+++ b/calls/relay/src/attempt_result.ts
@@ -30,6 +30,8 @@
   return {outcome: kind, reason, waitMs: 0, details};
 }
 
+/** Reason for a request that no worker must run, because it crashes workers. */
+export const QUARANTINED = 'quarantined';
 /** Reasons of workers that are full. */
 export const FULL_REASONS = new Set(['wouldBeLate', 'wouldExpire']);
 /** Reasons which show that a worker is not at its address any more. */
--- a/calls/relay/src/caller_responders.ts
+++ b/calls/relay/src/caller_responders.ts
@@ -6,6 +6,8 @@
 import {computeRetryAfterMs, retryAfterHeader} from './retry_after.js';
 import {sendResponse} from './send_response.js';
 
+const QUARANTINE_STATUS = 422; // the same request gets the same status again
+
 /** Times of a caller's request. */
 export interface RequestTimes extends Pick<
   DispatchedRequest,
@@ -61,6 +63,10 @@
     });
     options.refuse(503, retryAfterHeader(afterMs));
   },
+  quarantined: (result, options) => {
+    options.recordEnd('quarantined', {reason: result.reason});
+    options.refuse(QUARANTINE_STATUS, []);
+  },
   unknown: (result, options) => {
     options.recordEnd('unknown', {reason: result.reason});
     options.refuse(502, []);
--- a/calls/relay/src/dispatched_request.ts
+++ b/calls/relay/src/dispatched_request.ts
@@ -26,9 +26,11 @@
 
 /**
  * Outcome of a dispatched request: a response, a refusal that guarantees that
- * no worker ran the request, or an unknown outcome.
+ * this attempt of the caller did not run, or an unknown outcome.
  */
 export type DispatchResult =
   | {kind: 'response'; response: ExchangeResponse; attempts: number}
   | {kind: 'refused'; reason: string; waitMs: number; serviceMs: number}
-  | {kind: 'unknown'; reason: string};
+  | {kind: 'unknown'; reason: string}
+  /** Refused for good, because it crashes workers. */
+  | {kind: 'quarantined'; reason: string};
--- a/calls/relay/src/hop_message.ts
+++ b/calls/relay/src/hop_message.ts
@@ -11,6 +11,8 @@
   response: 'x-cs-load',
   /** When the request was written, by the sender's clock; see `HopStamps`. */
   sentAt: 'x-cs-sent',
+  /** Only in requests of which an attempt at another worker has failed. */
+  resent: 'x-cs-resent',
   /** Only in requests for a worker whose rate limit the sender knows. */
   knownRateLimit: 'x-cs-limit',
   /** Only in responses about a worker that states a limit or that it leaves. */
--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -30,6 +30,7 @@
 const EXCLUDED_HEADERS = new Set<string>([
   hopHeaders.request,
   hopHeaders.knownRateLimit,
+  hopHeaders.resent,
   hopHeaders.sentAt,
   wireHeaders.deadlineMs,
   wireHeaders.expectedWorker,
@@ -191,6 +192,7 @@
       headers,
       body,
       requestId: requestIdOf(request),
+      isResent: request.headers[hopHeaders.resent] !== undefined,
       hasSenderLeft: () => hasSenderLeft(request),
     });
     const progress = this.#sendInterimResponses(request, response, ticket);
--- a/calls/relay/src/index.ts
+++ b/calls/relay/src/index.ts
@@ -1,4 +1,5 @@
 export * from './caller_deadline_tracker.js';
+export * from './crash_quarantine.js';
 export * from './dispatched_request.js';
 export * from './hop_delay.js';
 export * from './hop_message.js';
--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -32,6 +32,7 @@
   hopHeaders.request,
   hopHeaders.response,
   hopHeaders.knownRateLimit,
+  hopHeaders.resent,
   hopHeaders.sentAt,
   hopHeaders.statement,
   wireHeaders.deadlineMs,
--- a/calls/relay/src/relay_context.ts
+++ b/calls/relay/src/relay_context.ts
@@ -9,6 +9,7 @@
 } from '@carobseam/core.types';
 import type {IncomingMessage} from 'node:http';
 import type {CallerDeadlineTracker} from './caller_deadline_tracker.js';
+import type {CrashQuarantine} from './crash_quarantine.js';
 import type {HopStamps} from './hop_delay.js';
 import type {PeerHealth} from './peer_health.js';
 import type {PeerPools} from './peer_pools.js';
@@ -28,6 +29,8 @@
   peerHealth: PeerHealth;
   peerPools: PeerPools;
   workerGate: WorkerGate;
+  /** By default no request is refused as a cause of crashes. */
+  quarantine?: CrashQuarantine;
   callerDeadlines: CallerDeadlineTracker;
   intake: RequestIntake;
   hopStamps: HopStamps;
--- a/calls/relay/src/request_dispatcher.ts
+++ b/calls/relay/src/request_dispatcher.ts
@@ -21,6 +21,7 @@
 import {Attempt} from './attempt.js';
 import {
   FULL_REASONS,
+  QUARANTINED,
   STALE_ADDRESS_REASONS,
   type AttemptResult,
 } from './attempt_result.js';
@@ -76,6 +77,10 @@
 
   /** Sends the request to the next worker, if there is one. */
   #startAttempt(): void {
+    if (this.#context.quarantine?.isRefused(this.#request)) {
+      this.#settle(this.#quarantine());
+      return;
+    }
     const choice = this.#chooseWorker();
     if (choice) {
       void this.#makeAttempt(choice);
@@ -122,6 +127,10 @@
       discardResponse(result.response);
       return;
     }
+    if (result.reason === QUARANTINED) {
+      this.#settle(this.#quarantine());
+      return;
+    }
     const inputs = this.#stepInputs(result);
     const step = this.#decideNextStep(inputs);
     if (result.outcome !== 'answered') {
@@ -203,6 +212,12 @@
       : {kind: 'unknown', reason: result.reason};
   }
 
+  #quarantine(): DispatchResult {
+    return this.#failedResponse
+      ? this.#deliver(this.#failedResponse)
+      : {kind: this.mayHaveRun ? 'unknown' : QUARANTINED, reason: QUARANTINED};
+  }
+
   /** Log fields that identify an attempt. */
   #describe(attempt: Attempt): LogFields {
     const {clock, state} = this.#context;
@@ -256,6 +271,7 @@
       context: this.#context,
       request,
       worker,
+      isResent: this.#mayHaveRun,
       onSilent: (silentMs, isFirst) => this.#hedge(attempt, silentMs, isFirst),
     });
     this.#attempts.add(attempt);
--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -17,6 +17,8 @@
 import type {Clock, Timer} from '@carobseam/core.types';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import {Readable} from 'node:stream';
+import {QUARANTINED} from './attempt_result.js';
+import type {CrashQuarantine} from './crash_quarantine.js';
 import type {HopVerdict} from './hop_message.js';
 import {toGateResult} from './judge_response.js';
 import {
@@ -45,6 +47,8 @@
   headers: string[];
   body: Buffer | Readable;
   requestId?: string;
+  /** Whether an attempt at another worker has failed before. */
+  isResent?: boolean;
   /** Whether the sender has closed its connection; by default it has not. */
   hasSenderLeft?: () => boolean;
 }
@@ -89,6 +93,8 @@
    * Whether a worker was seen at this gate's address and is not there any more.
    */
   isGone: (id: WorkerId) => boolean;
+  /** By default no request is refused as a cause of crashes. */
+  quarantine?: CrashQuarantine;
   /** Called for each new connection to the worker. */
   onConnection: () => void;
   /** Called when a worker states something new about itself. */
@@ -210,6 +216,8 @@
         retryAfterMs: 0,
         isWorkerLeaving: this.#isLeaving(worker),
       });
+    } else if (this.#options.quarantine?.isRefused(request)) {
+      resolve({verdict: 'notSent', reason: QUARANTINED, retryAfterMs: 0});
     } else {
       this.#enqueue(pending);
     }
@@ -306,7 +314,9 @@
       url: request.url,
       // Opening a connection may take a part of the time that is left.
       isWithdrawn: () =>
-        request.hasSenderLeft?.() === true || remainingMs() <= 0,
+        request.hasSenderLeft?.() === true ||
+        remainingMs() <= 0 ||
+        this.#options.quarantine?.isRefused(request) === true,
       headers: () => [
         ...request.headers,
         wireHeaders.deadlineMs,
@@ -323,6 +333,7 @@
     void pending.exchange.result.then(result => {
       const durationMs = this.#options.clock.monotonicMs() - startMs;
       this.#recordResult(result, priorityClassOf(pending), durationMs);
+      this.#reportToQuarantine(request, result, startMs);
       this.#releaseSlotAfter(pending, result);
       this.#resolve(pending, toGateResult(result));
     });
@@ -359,6 +370,19 @@
     }
   }
 
+  #reportToQuarantine(
+    request: GateRequest,
+    result: ExchangeResult,
+    startMs: number,
+  ): void {
+    const {quarantine} = this.#options;
+    if (result.kind === 'response') {
+      quarantine?.recordCompletion(request);
+    } else if (result.reason === 'connection_lost') {
+      quarantine?.recordLost(request, startMs, request.isResent === true);
+    }
+  }
+
   /** Frees the slot, after a streamed response only once its body has ended. */
   #releaseSlotAfter(pending: PendingRequest, result: ExchangeResult): void {
     const release = () => {
--- a/core/http_get/src/http_get.ts
+++ b/core/http_get/src/http_get.ts
@@ -12,6 +12,8 @@
   address: string;
   path: string;
   headers?: http.OutgoingHttpHeaders;
+  /** Body of a POST request; without it, a GET request is sent. */
+  body?: string;
   /** Agent that reuses connections; each call opens a new one by default. */
   agent?: http.Agent;
   /**
@@ -32,14 +34,15 @@
 }
 
 /**
- * Sends a GET request and reads the complete response. If this fails, the
- * connection is closed.
+ * Sends a GET or POST request and reads the complete response. If this fails,
+ * the connection is closed.
  *
  * @throws Error if the response begins late, pauses for more than a second, takes
  *     more than 10 seconds, is incomplete or is too large.
  */
 export function httpGet(options: HttpGetOptions): Promise<HttpGetResult> {
-  const {path, headers, agent = false, timeoutMs, maxBytes} = options;
+  const {path, headers, body, agent = false, timeoutMs, maxBytes} = options;
+  const method = body === undefined ? 'GET' : 'POST';
   const {host, port} = splitAddress(options.address);
   return new Promise((resolve, reject) => {
     let isComplete = false;
@@ -49,7 +52,8 @@
       request.destroy();
       reject(error);
     };
-    const request = http.get({host, port, path, headers, agent}, response => {
+    const request = http.request({host, port, method, path, headers, agent});
+    request.on('response', response => {
       const chunks: Buffer[] = [];
       let bytes = 0;
       const endMs = performance.now() + MAX_TRANSFER_MS;
@@ -78,8 +82,11 @@
         isComplete = true;
         clearTimeout(timer);
         const status = response.statusCode ?? 0;
-        const body = Buffer.concat(chunks);
-        resolve({status, headers: response.headers, body});
+        resolve({
+          status,
+          headers: response.headers,
+          body: Buffer.concat(chunks),
+        });
       });
       response.on('error', fail);
       response.on('aborted', () => fail(new Error('response was incomplete')));
@@ -98,6 +105,7 @@
       );
       timer = expectedTimer;
     };
+    request.end(body);
     failAfter(timeoutMs, `no response within ${timeoutMs} ms`);
     request.on('error', fail);
     let interimResponses = 0;
--- a/core/metrics/src/relay_metrics.ts
+++ b/core/metrics/src/relay_metrics.ts
@@ -38,6 +38,11 @@
     help: 'Connections that were opened to the local worker.',
     labels: [],
   },
+  carobseam_relay_worker_crashes_total: {
+    type: 'counter',
+    help: 'Crashes of the local worker that ended requests.',
+    labels: [],
+  },
   carobseam_relay_worker_rate_limit: {
     type: 'gauge',
     help: 'Requests per second that the local worker accepts; 0 when it states no limit.',
--- a/daemon/relay/src/peer_directory.ts
+++ b/daemon/relay/src/peer_directory.ts
@@ -4,6 +4,8 @@
   type MeshWorker,
 } from '@carobseam/config.mesh';
 import {splitAddress} from '@carobseam/core.net';
+import type {DataCentreName} from '@carobseam/core.types';
+import type {RelayAddresses} from '@carobseam/fleet.crash_mark_exchange';
 import type {RelaySettings} from '@carobseam/platform.adapter';
 
 const MIN_DATA_CENTRE_PEERS = 6; // if the store refuses a third of them, one of two polled peers has newer state 9 times in 10
@@ -42,6 +44,22 @@
     return this.#controlAddresses(this.#workersByPlace(false));
   }
 
+  /** Control addresses of the other relays, by place. */
+  addressesByDataCentre(): RelayAddresses {
+    const remote = new Map<DataCentreName, MeshWorker[]>();
+    for (const worker of this.#workersByPlace(false)) {
+      const workers = remote.get(worker.dataCentre) ?? [];
+      workers.push(worker);
+      remote.set(worker.dataCentre, workers);
+    }
+    return {
+      dataCentre: this.dataCentreAddresses(),
+      others: [...remote.values()].map(workers =>
+        this.#controlAddresses(workers),
+      ),
+    };
+  }
+
   /** Addresses of all VMs with a worker. */
   vmAddresses(): Set<string> {
     return new Set([...this.#state.workers()].map(vmAddressOf));
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -1,6 +1,8 @@
+import {CrashMarks} from '@carobseam/calls.crash_marks';
 import {WorkerLoads} from '@carobseam/calls.placement';
 import {
   CallerDeadlineTracker,
+  CrashQuarantine,
   HopDelays,
   HopStamps,
   InboundHandler,
@@ -18,8 +20,14 @@
   type MeshStateChange,
 } from '@carobseam/config.mesh';
 import type {Metrics} from '@carobseam/core.metrics';
-import {splitAddress} from '@carobseam/core.net';
+import {probeConnection, splitAddress} from '@carobseam/core.net';
 import type {Clock, RandomSource, Timer} from '@carobseam/core.types';
+import {
+  CRASH_MARK_PATH,
+  CrashMarkClient,
+  CrashMarkExchange,
+  CrashMarkServer,
+} from '@carobseam/fleet.crash_mark_exchange';
 import {
   FeedClient,
   FeedServer,
@@ -45,7 +53,9 @@
 const DEFAULT_KEEP_ALIVE_TIMEOUT_MS = 60_000; // used until a configuration is active
 const KEEP_ALIVE_TIMEOUT_FACTOR = 1.25; // callers reuse a connection until 4/5 of the configured limit
 const INBOUND_KEEP_ALIVE_TIMEOUT_MS = 20_000; // longer than peers keep idle connections in their pools
+const CRASH_LIMIT = 3; // a request that is only in flight beside a crashing one rarely meets three crashes in a row
 const DRAIN_CHECK_INTERVAL_MS = 20; // the longest delay until an idle relay exits
+const MAX_RUN_NUMBER = 2 ** 31 - 1; // two runs get the same number once in two thousand million
 const HOUSEKEEPING_INTERVAL_MS = 1000; // the longest time for which an expired idle connection stays open
 
 /** Options of `Relay`. */
@@ -76,6 +86,8 @@
   readonly #changeFeed: ChangeFeed;
   readonly #feedClient = new FeedClient();
   readonly #feedServer: FeedServer;
+  readonly #crashMarkExchange: CrashMarkExchange;
+  readonly #crashMarkServer: CrashMarkServer;
   readonly #readerFollower: ReaderFollower;
   readonly #sourceFollower: SourceFollower;
   readonly #outbound: OutboundHandler;
@@ -88,6 +100,7 @@
   #inboundServer?: Server;
   #outboundServer?: Server;
   #housekeepingTimer?: Timer;
+  #hasFetchedCrashMarks = false;
 
   constructor(options: RelayOptions) {
     const {settings, clock, random, log, metrics} = options;
@@ -119,6 +132,33 @@
           this.#peerHealth.downCount,
         ),
     });
+    const marks = new CrashMarks({clock, crashLimit: CRASH_LIMIT});
+    const crashMarkClient = new CrashMarkClient();
+    this.#crashMarkExchange = new CrashMarkExchange({
+      clock,
+      random,
+      logger: log.logger,
+      marks,
+      relays: () => this.#peers.addressesByDataCentre(),
+      send: (address, notice) => crashMarkClient.send(address, notice),
+      fetch: address => crashMarkClient.fetch(address),
+    });
+    this.#crashMarkServer = new CrashMarkServer(this.#crashMarkExchange);
+    const worker = splitAddress(settings.workerAddress);
+    const quarantine = new CrashQuarantine({
+      clock,
+      marks,
+      // A relay that starts again must not use the ids of crashes from before.
+      relayId: `${settings.vm}-${random.nextInt(MAX_RUN_NUMBER).toString(36)}`,
+      probeWorker: () =>
+        probeConnection(worker.host, worker.port, WORKER_CONNECT_TIMEOUT_MS),
+      recordCrash: (crashId, requests) => {
+        recorder.workerCrashed(crashId, requests.length);
+        this.#crashMarkExchange.recordCrash(crashId, requests);
+      },
+      recordCompletion: fingerprint =>
+        this.#crashMarkExchange.recordCompletion(fingerprint),
+    });
     this.#workerGate = new WorkerGate({
       clock,
       workerAddress: settings.workerAddress,
@@ -127,6 +167,7 @@
       maxIdle: WORKER_MAX_IDLE_CONNECTIONS,
       drainMs: settings.drainMs,
       isGone: id => this.#state.isGone(id),
+      quarantine,
       onConnection: () =>
         metrics.increment('carobseam_relay_worker_connections_total'),
       onStatement: (id, statement) => recorder.workerStatement(id, statement),
@@ -189,6 +230,7 @@
       peerHealth: this.#peerHealth,
       peerPools: this.#peerPools,
       workerGate: this.#workerGate,
+      quarantine,
       callerDeadlines: new CallerDeadlineTracker(clock),
       intake: this.#intake,
       hopStamps: new HopStamps(clock),
@@ -228,7 +270,7 @@
       ],
       [
         settings.controlAddress,
-        (request, response) => void this.#feedServer.handle(request, response),
+        (request, response) => this.#respondControl(request, response),
       ],
       [
         `${settings.vmAddress}:${settings.metricsPort}`,
@@ -314,6 +356,7 @@
   close(): void {
     this.#sourceFollower.close();
     this.#readerFollower.close();
+    this.#crashMarkExchange.close();
     this.#feedClient.close();
     this.#housekeepingTimer?.cancel();
     this.#peerHealth.close();
@@ -329,6 +372,10 @@
   #handleStateApplied(): void {
     const {workerAddress} = this.#options.settings;
     this.#workerGate.setWorker(this.#state.workerAt(workerAddress));
+    if (!this.#hasFetchedCrashMarks) {
+      this.#hasFetchedCrashMarks = true;
+      void this.#crashMarkExchange.start();
+    }
     this.#changeFeed.notifyStateChanged();
   }
 
@@ -355,6 +402,14 @@
     );
   }
 
+  #respondControl(request: IncomingMessage, response: ServerResponse): void {
+    const server =
+      request.url === CRASH_MARK_PATH
+        ? this.#crashMarkServer
+        : this.#feedServer;
+    void server.handle(request, response);
+  }
+
   #respondReadiness(_request: IncomingMessage, response: ServerResponse): void {
     const isReady =
       !this.#shutdown.isDraining && this.#state.config !== undefined;
--- a/daemon/relay/src/request_recorder.ts
+++ b/daemon/relay/src/request_recorder.ts
@@ -75,6 +75,12 @@
     this.#log.logImportant('gate_decision', {reason, ...fields});
   }
 
+  /** Records a crash of the local worker, with the number of requests that it ended. */
+  workerCrashed(crashId: string, inFlight: number): void {
+    this.#metrics.increment('carobseam_relay_worker_crashes_total');
+    this.#log.logImportant('worker_crashed', {crashId, inFlight});
+  }
+
   /** Records what the local worker has stated about itself in a response. */
   workerStatement(id: WorkerId, statement: WorkerStatement): void {
     const {rateLimitPerS, isLeaving} = statement;
