fix(placement): avoid workers that refuse connections

Cause: a crashed worker keeps its entry for up to three heartbeats. Its gate found out at once, but relays went on to choose it: after three such tries a request was refused with 503 though other workers had room.

Change: a worker that refuses the connection of the relay beside it counts as down for 500 ms, or until it answers, and is chosen only as a last resort. Up to eight such tries do not count as refusals of full workers.

--- a/calls/placement/src/choose_worker.ts
+++ b/calls/placement/src/choose_worker.ts
@@ -130,6 +130,7 @@
     isLoadUnknown: load.isLoadUnknown,
     isLastResort:
       load.isLeaving ||
+      load.isDown ||
       load.failureShare > MAX_FAILURE_SHARE ||
       options.isUnreachable(worker),
   };
--- a/calls/placement/src/worker_loads.ts
+++ b/calls/placement/src/worker_loads.ts
@@ -7,6 +7,7 @@
 const CONTENTION_THRESHOLD = 0.8; // share of busy slots above which requests of several relays compete for the same slots
 const CONTENTION_COST_SHARE = 0.2; // of the service time, when all slots are busy
 const LEFT_TTL_MS = 60_000; // workers serve on for many seconds after their entries were removed
+const DOWN_MS = 500; // a crashed worker is back after some seconds; each relay tries it twice a second
 const FULL_MS = 200; // a tenth of the slots becomes free within it; a longer time would leave slots unused
 
 /**
@@ -41,6 +42,8 @@
    * monotonic clock.
    */
   fullUntilMs: number[];
+  /** Until when the worker counts as down, on the monotonic clock. */
+  downUntilMs: number;
 }
 
 /** Expected latency of a request at a worker. */
@@ -50,6 +53,8 @@
   failureShare: number;
   /** Whether it has just refused a request of the same priority class. */
   isFull: boolean;
+  /** Whether it has just refused a connection of the relay beside it. */
+  isDown: boolean;
   /** Whether no load of the worker has been reported yet. */
   isLoadUnknown: boolean;
   isLeaving: boolean;
@@ -100,6 +105,16 @@
       this.#clock.monotonicMs() + FULL_MS;
   }
 
+  /** Marks the worker as down after it refused a connection. */
+  recordDown(id: WorkerId): void {
+    this.#stateOf(id).downUntilMs = this.#clock.monotonicMs() + DOWN_MS;
+  }
+
+  /** Records that the worker has responded to a request. */
+  recordUp(id: WorkerId): void {
+    this.#stateOf(id).downUntilMs = -Infinity;
+  }
+
   /**
    * Marks the worker's address as stale after another worker responded there.
    */
@@ -188,6 +203,7 @@
       isLoadUnknown: state?.report === undefined,
       isFull:
         (state?.fullUntilMs[priorityClass] ?? 0) > this.#clock.monotonicMs(),
+      isDown: (state?.downUntilMs ?? 0) > this.#clock.monotonicMs(),
       isLeaving:
         worker.isLeaving ||
         this.#markOf(worker) !== undefined ||
@@ -218,6 +234,7 @@
         startedSinceReport: 0,
         isAddressStale: false,
         fullUntilMs: [],
+        downUntilMs: -Infinity,
       };
       this.#byWorker.set(id, state);
     }
--- a/calls/placement/test/choose_worker.test.ts
+++ b/calls/placement/test/choose_worker.test.ts
@@ -38,6 +38,7 @@
       serviceMs: 160,
       failureShare: 0,
       isFull: false,
+      isDown: false,
       isLoadUnknown: false,
       isLeaving: false,
       ...loads[worker.id],
@@ -88,6 +89,10 @@
     expect(choose({}, {isUnreachable})?.worker.id).to.equal('2');
   });
 
+  it('guards against choosing a worker that refuses connections', () => {
+    expect(choose({1: {isDown: true}})?.worker.id).to.equal('2');
+  });
+
   it('uses a failing worker as a last resort', () => {
     const workers = [LOCAL];
     const choice = choose({1: {failureShare: 0.9}}, {workers});
--- a/calls/placement/test/worker_loads.test.ts
+++ b/calls/placement/test/worker_loads.test.ts
@@ -69,6 +69,18 @@
     expect(loads.knownRateLimitPerS(worker.id)).to.equal(undefined);
   });
 
+  it('guards against avoiding a worker that is back after a crash', () => {
+    const {clock, loads, worker} = createLoads();
+    const isDown = () => loads.estimate(worker, CLASS).isDown;
+    loads.recordDown(worker.id);
+    expect(isDown()).to.equal(true);
+    loads.recordUp(worker.id);
+    expect(isDown()).to.equal(false);
+    loads.recordDown(worker.id);
+    clock.advance(500);
+    expect(isDown()).to.equal(false);
+  });
+
   it('guards against requests to a worker that has said that it leaves', () => {
     const {clock, loads, worker} = createLoads();
     loads.markLeaving(worker);
--- a/calls/relay/src/attempt_result.ts
+++ b/calls/relay/src/attempt_result.ts
@@ -1,6 +1,7 @@
 import type {
   ExchangeFailure,
   ExchangeResponse,
+  FailureReason,
 } from '@carobseam/calls.exchange';
 import type {AttemptOutcome} from '@carobseam/calls.placement';
 import type {LogFields} from '@carobseam/core.logger';
@@ -30,6 +31,9 @@
   return {outcome: kind, reason, waitMs: 0, details};
 }
 
+const CONNECT_FAILED: FailureReason = 'connect_failed';
+/** Reason of a worker that refuses the connections of the relay beside it. */
+export const WORKER_DOWN = 'workerDown';
 /** Reason for a request that no worker must run, because it crashes workers. */
 export const QUARANTINED = 'quarantined';
 /** Reasons of workers that are full. */
@@ -46,5 +50,11 @@
     const outcome = response!.status >= 500 ? 'failed' : 'answered';
     return {outcome, reason, waitMs, response, details};
   }
-  return {outcome: verdict, reason, waitMs, details};
+  const isDown = verdict === 'notSent' && reason === CONNECT_FAILED;
+  return {
+    outcome: verdict,
+    reason: isDown ? WORKER_DOWN : reason,
+    waitMs,
+    details,
+  };
 }
--- a/calls/relay/src/request_dispatcher.ts
+++ b/calls/relay/src/request_dispatcher.ts
@@ -23,11 +23,13 @@
   FULL_REASONS,
   QUARANTINED,
   STALE_ADDRESS_REASONS,
+  WORKER_DOWN,
   type AttemptResult,
 } from './attempt_result.js';
 import type {DispatchedRequest, DispatchResult} from './dispatched_request.js';
 import type {RelayContext} from './relay_context.js';
 
+const MAX_DOWN_WORKERS = 8; // each takes a few ms to find out
 const SERVICE_SHARE = 0.5; // of the target latency
 
 /**
@@ -43,6 +45,8 @@
   readonly #attempts = new Set<Attempt>();
   #sentAttempts = 0;
   #unsentAttempts = 0;
+  /** Workers that were found to be down. */
+  #downWorkers = 0;
   #mayHaveRun = false;
   #isCountedForBudget = false;
   #isCancelled = false;
@@ -281,6 +285,11 @@
     if (FULL_REASONS.has(result.reason)) {
       workerLoads.recordRefusal(worker.id, priorityClassOf(request.route));
     }
+    if (result.reason === WORKER_DOWN) {
+      workerLoads.recordDown(worker.id);
+    } else if (result.outcome === 'answered') {
+      workerLoads.recordUp(worker.id);
+    }
     if (STALE_ADDRESS_REASONS.has(result.reason)) {
       workerLoads.markAddressStale(worker.id);
     }
@@ -297,7 +306,7 @@
     }
     if (result.outcome === 'notSent') {
       this.#sentAttempts--;
-      this.#unsentAttempts++;
+      this.#countUnsent(result.reason);
       this.#shortestWaitMs = Math.min(this.#shortestWaitMs, result.waitMs);
     } else if (result.outcome === 'failed') {
       this.#mayHaveRun = true;
@@ -307,6 +316,15 @@
     }
   }
 
+  #countUnsent(reason: string): void {
+    // A worker that is down says nothing about the load of the others.
+    if (reason === WORKER_DOWN && this.#downWorkers < MAX_DOWN_WORKERS) {
+      this.#downWorkers++;
+    } else {
+      this.#unsentAttempts++;
+    }
+  }
+
   /** Starts another attempt beside a silent one, if a retry is allowed. */
   #hedge(attempt: Attempt, silentMs: number, isFirst: boolean): void {
     if (attempt.isHedged) {
