--- a/calls/relay/src/attempt_result.ts
+++ b/calls/relay/src/attempt_result.ts
@@ -6,7 +6,7 @@
 import type {AttemptOutcome} from '@carobseam/calls.placement';
 import type {LogFields} from '@carobseam/core.logger';
 import {gateTimes, roundMs} from './log_times.js';
-import type {GateResult} from './worker_gate.js';
+import type {GateResult} from './gate_request.js';
 
 /** Result of one attempt to have a worker run a request. */
 export interface AttemptResult {
--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -22,7 +22,7 @@
 import {FIRST_INTAKE_CLASS} from './request_intake.js';
 import {sendResponse} from './send_response.js';
 import {hasSenderLeft, onceClosed} from './sender_presence.js';
-import type {GateResult, GateTicket} from './worker_gate.js';
+import type {GateResult, GateTicket} from './gate_request.js';
 
 const FIRST_INTERIM_MS = 150; // most responses arrive sooner
 const INTERIM_INTERVAL_MS = 200; // two may be late before the hop counts as silent
--- a/calls/relay/src/index.ts
+++ b/calls/relay/src/index.ts
@@ -1,6 +1,7 @@
 export * from './caller_deadline_tracker.js';
 export * from './crash_quarantine.js';
 export * from './dispatched_request.js';
+export * from './gate_request.js';
 export * from './hop_delay.js';
 export * from './hop_message.js';
 export * from './inbound_handler.js';
--- a/calls/relay/src/judge_response.ts
+++ b/calls/relay/src/judge_response.ts
@@ -7,7 +7,7 @@
 } from '@carobseam/calls.exchange';
 import {wireHeaders} from '@carobseam/platform.adapter';
 import type {HopVerdict} from './hop_message.js';
-import type {GateResult} from './worker_gate.js';
+import type {GateResult} from './gate_request.js';
 
 // Callers retry after these statuses, even a request that is not idempotent.
 const RETRIED_STATUSES = new Set([408, 429, 503]);
--- a/calls/relay/src/log_times.ts
+++ b/calls/relay/src/log_times.ts
@@ -1,4 +1,4 @@
-import type {GateResult} from './worker_gate.js';
+import type {GateResult} from './gate_request.js';
 
 /** Rounds a time that may be unknown, for the log. */
 export function roundMs(timeMs: number | undefined): number | undefined {
--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -1,7 +1,6 @@
 import {
   ConnectionPool,
   type Exchange,
-  type ExchangeResponse,
   type ExchangeResult,
   type FailureReason,
   type ReceivedHead,
@@ -19,7 +18,7 @@
 import {Readable} from 'node:stream';
 import {QUARANTINED} from './attempt_result.js';
 import type {CrashQuarantine} from './crash_quarantine.js';
-import type {HopVerdict} from './hop_message.js';
+import type {GateRequest, GateResult, GateTicket} from './gate_request.js';
 import {toGateResult} from './judge_response.js';
 import {
   decodeWorkerStatement,
@@ -31,55 +30,6 @@
 const EXPIRY_MARGIN_MS = 100; // so that a refusal reaches the caller before its deadline
 const EXCHANGE_GRACE_MS = 500; // the worker's own error response at the deadline may still arrive
 
-/** A request for the local worker. */
-export interface GateRequest {
-  worker: WorkerId;
-  /**
-   * Rate limit of the worker that the sender knows, in requests per second. It
-   * applies until the worker itself has responded to this relay.
-   */
-  knownRateLimitPerS?: number;
-  isIdempotent: boolean;
-  scheduling: QueuedRequest;
-  method: string;
-  url: string;
-  /** Headers to send; the gate adds the deadline. */
-  headers: string[];
-  body: Buffer | Readable;
-  requestId?: string;
-  /** Whether an attempt at another worker has failed before. */
-  isResent?: boolean;
-  /** Whether the sender has closed its connection; by default it has not. */
-  hasSenderLeft?: () => boolean;
-}
-
-/** Outcome of a request at the gate. */
-export interface GateResult {
-  verdict: HopVerdict;
-  reason: string;
-  retryAfterMs: number;
-  /** Present if the worker answered. */
-  response?: ExchangeResponse;
-  /** Time from the submission until the request was sent or refused, in ms. */
-  waitedMs?: number;
-  /** Time since the request was sent to the worker, in ms. */
-  ranMs?: number;
-  /** Whether the worker has stated in a response that it is about to exit. */
-  isWorkerLeaving?: boolean;
-}
-
-/** A request that was submitted to the gate. */
-export interface GateTicket {
-  /** Never rejects. */
-  readonly result: Promise<GateResult>;
-  /**
-   * Cancels the request, for example when its caller disconnects. A queued
-   * request is removed, a running one is aborted if it is idempotent; other
-   * running requests complete.
-   */
-  cancel(): void;
-}
-
 /** Options of `WorkerGate`. */
 export interface WorkerGateOptions {
   clock: Clock;
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -1,8 +1,6 @@
-import {CrashMarks} from '@carobseam/calls.crash_marks';
 import {WorkerLoads} from '@carobseam/calls.placement';
 import {
   CallerDeadlineTracker,
-  CrashQuarantine,
   HopDelays,
   HopStamps,
   InboundHandler,
@@ -20,14 +18,9 @@
   type MeshStateChange,
 } from '@carobseam/config.mesh';
 import type {Metrics} from '@carobseam/core.metrics';
-import {probeConnection, splitAddress} from '@carobseam/core.net';
+import {splitAddress} from '@carobseam/core.net';
 import type {Clock, RandomSource, Timer} from '@carobseam/core.types';
-import {
-  CRASH_MARK_PATH,
-  CrashMarkClient,
-  CrashMarkExchange,
-  CrashMarkServer,
-} from '@carobseam/fleet.crash_mark_exchange';
+import type {CrashMarkExchange} from '@carobseam/fleet.crash_mark_exchange';
 import {
   FeedClient,
   FeedServer,
@@ -36,8 +29,15 @@
   ChangeFeed,
 } from '@carobseam/fleet.follower';
 import type {RelaySettings} from '@carobseam/platform.adapter';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerResponse,
+} from 'node:http';
 import {setImmediate} from 'node:timers/promises';
+import {createControlHandler} from './create_control_handler.js';
+import {createCrashQuarantine} from './create_crash_quarantine.js';
 import type {RateLimitedLog} from './rate_limited_log.js';
 import {hasHighBandwidthLink} from './has_high_bandwidth_link.js';
 import {listen} from './listen.js';
@@ -53,9 +53,7 @@
 const DEFAULT_KEEP_ALIVE_TIMEOUT_MS = 60_000; // used until a configuration is active
 const KEEP_ALIVE_TIMEOUT_FACTOR = 1.25; // callers reuse a connection until 4/5 of the configured limit
 const INBOUND_KEEP_ALIVE_TIMEOUT_MS = 20_000; // longer than peers keep idle connections in their pools
-const CRASH_LIMIT = 3; // a request that is only in flight beside a crashing one rarely meets three crashes in a row
 const DRAIN_CHECK_INTERVAL_MS = 20; // the longest delay until an idle relay exits
-const MAX_RUN_NUMBER = 2 ** 31 - 1; // two runs get the same number once in two thousand million
 const HOUSEKEEPING_INTERVAL_MS = 1000; // the longest time for which an expired idle connection stays open
 
 /** Options of `Relay`. */
@@ -85,9 +83,8 @@
   readonly #peers: PeerDirectory;
   readonly #changeFeed: ChangeFeed;
   readonly #feedClient = new FeedClient();
-  readonly #feedServer: FeedServer;
   readonly #crashMarkExchange: CrashMarkExchange;
-  readonly #crashMarkServer: CrashMarkServer;
+  readonly #handleControl: RequestListener;
   readonly #readerFollower: ReaderFollower;
   readonly #sourceFollower: SourceFollower;
   readonly #outbound: OutboundHandler;
@@ -132,33 +129,15 @@
           this.#peerHealth.downCount,
         ),
     });
-    const marks = new CrashMarks({clock, crashLimit: CRASH_LIMIT});
-    const crashMarkClient = new CrashMarkClient();
-    this.#crashMarkExchange = new CrashMarkExchange({
+    const {quarantine, exchange, server} = createCrashQuarantine({
+      settings,
       clock,
       random,
-      logger: log.logger,
-      marks,
+      log,
+      recorder,
       relays: () => this.#peers.addressesByDataCentre(),
-      send: (address, notice) => crashMarkClient.send(address, notice),
-      fetch: address => crashMarkClient.fetch(address),
-    });
-    this.#crashMarkServer = new CrashMarkServer(this.#crashMarkExchange);
-    const worker = splitAddress(settings.workerAddress);
-    const quarantine = new CrashQuarantine({
-      clock,
-      marks,
-      // A relay that starts again must not use the ids of crashes from before.
-      relayId: `${settings.vm}-${random.nextInt(MAX_RUN_NUMBER).toString(36)}`,
-      probeWorker: () =>
-        probeConnection(worker.host, worker.port, WORKER_CONNECT_TIMEOUT_MS),
-      recordCrash: (crashId, requests) => {
-        recorder.workerCrashed(crashId, requests.length);
-        this.#crashMarkExchange.recordCrash(crashId, requests);
-      },
-      recordCompletion: fingerprint =>
-        this.#crashMarkExchange.recordCompletion(fingerprint),
     });
+    this.#crashMarkExchange = exchange;
     this.#workerGate = new WorkerGate({
       clock,
       workerAddress: settings.workerAddress,
@@ -184,13 +163,14 @@
       remotePeerAddresses: () => this.#peers.remoteAddresses(),
       random,
     });
-    this.#feedServer = new FeedServer({
+    const feedServer = new FeedServer({
       feed: this.#changeFeed,
       role: () => ({
         isReader: this.#readerFollower.isReader,
         readers: this.#readerFollower.readers,
       }),
     });
+    this.#handleControl = createControlHandler(feedServer, server);
     this.#sourceFollower = new SourceFollower({
       clock,
       random,
@@ -261,17 +241,12 @@
     const {settings} = this.#options;
     void this.#sourceFollower.run();
     this.#readerFollower.start();
-    const handlers: Array<
-      [string, (request: IncomingMessage, response: ServerResponse) => void]
-    > = [
+    const handlers: Array<[address: string, handler: RequestListener]> = [
       [
         settings.readyAddress,
         (request, response) => this.#respondReadiness(request, response),
       ],
-      [
-        settings.controlAddress,
-        (request, response) => this.#respondControl(request, response),
-      ],
+      [settings.controlAddress, this.#handleControl],
       [
         `${settings.vmAddress}:${settings.metricsPort}`,
         (request, response) => void this.#respondMetrics(request, response),
@@ -402,14 +377,6 @@
     );
   }
 
-  #respondControl(request: IncomingMessage, response: ServerResponse): void {
-    const server =
-      request.url === CRASH_MARK_PATH
-        ? this.#crashMarkServer
-        : this.#feedServer;
-    void server.handle(request, response);
-  }
-
   #respondReadiness(_request: IncomingMessage, response: ServerResponse): void {
     const isReady =
       !this.#shutdown.isDraining && this.#state.config !== undefined;
