fix(relay): keep the target latency where callers wait as long as the route

Change: a call of a worker is known by its id, which extends the id of a request that the gate has given to the worker.

--- a/calls/relay/src/caller_responders.ts
+++ b/calls/relay/src/caller_responders.ts
@@ -14,7 +14,8 @@
   'dueAtMs' | 'expiresAtMs' | 'isLastCallerAttempt'
 > {
   isCallerRetry: boolean;
-  canCallerRetry: boolean;
+  /** Whether the local worker sent it in the course of another request. */
+  isWorkerCall: boolean;
   /** When the caller's deadline ends, on the monotonic clock, in ms. */
   callerDeadlineMs: number;
 }
--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -7,6 +7,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Readable} from 'node:stream';
 import {ClosingConnections} from './closing_connections.js';
+import {deadlineOf, headerOf} from './caller_headers.js';
 import type {DispatchResult} from './dispatched_request.js';
 import {
   isStreamed,
@@ -180,10 +181,9 @@
 
   #intakeClassOf(
     route: MeshRoute,
-    {dueAtMs, canCallerRetry}: RequestTimes,
+    {dueAtMs, isWorkerCall}: RequestTimes,
   ): number {
-    if (!canCallerRetry) {
-      // For example a worker that calls another service in the course of a request.
+    if (isWorkerCall) {
       return FIRST_INTAKE_CLASS;
     }
     const latestStartMs = dueAtMs - expectedServiceMs(route);
@@ -304,7 +304,11 @@
       return false;
     }
     const deadlineMs = deadlineOf(request, route);
-    const {canCallerRetry} = callerDeadlines.estimate(route, deadlineMs);
+    const {canCallerRetry} = callerDeadlines.estimate(
+      route,
+      deadlineMs,
+      this.#isWorkerCall(request),
+    );
     const endMs = arrivedMs + Math.min(deadlineMs, route.timeoutMs);
     return canCallerRetry || endMs > shutdownDeadlineMs();
   }
@@ -315,15 +319,17 @@
     arrivedMs: number,
   ): RequestTimes {
     const deadlineMs = deadlineOf(request, route);
+    const isWorkerCall = this.#isWorkerCall(request);
     const callerDeadline = this.#context.callerDeadlines.estimate(
       route,
       deadlineMs,
+      isWorkerCall,
     );
     return {
       dueAtMs: arrivedMs + callerDeadline.dueInMs,
       isLastCallerAttempt: callerDeadline.isLastCallerAttempt,
       isCallerRetry: callerDeadline.isCallerRetry,
-      canCallerRetry: callerDeadline.canCallerRetry,
+      isWorkerCall,
       // A request that is still in progress when this relay exits is aborted.
       expiresAtMs: Math.min(
         arrivedMs + Math.min(deadlineMs, route.timeoutMs),
@@ -333,6 +339,12 @@
     };
   }
 
+  #isWorkerCall(request: IncomingMessage): boolean {
+    return this.#context.workerGate.isCallOfWorker(
+      headerOf(request, wireHeaders.requestId),
+    );
+  }
+
   #forwardedHeadersOf(request: IncomingMessage): string[] {
     const headers = forwardedHeaders(request.rawHeaders, EXCLUDED_HEADERS);
     headers.push(wireHeaders.callerService, this.#context.service);
@@ -404,13 +416,3 @@
     });
   }
 }
-
-/** The time that the caller waits, in ms. */
-function deadlineOf(request: IncomingMessage, route: MeshRoute): number {
-  const sentMs = Number(headerOf(request, wireHeaders.deadlineMs));
-  return sentMs > 0 ? sentMs : route.timeoutMs;
-}
-
-function headerOf(request: IncomingMessage, name: string): string | undefined {
-  return request.headers[name] as string | undefined;
-}
--- a/calls/relay/src/worker_gate.ts
+++ b/calls/relay/src/worker_gate.ts
@@ -27,6 +27,7 @@
 } from './worker_statement.js';
 
 const INITIAL_SLOTS = 8; // of the smallest worker in the users' specification; used until the worker's entry is read
+const CALL_ID_SEPARATOR = '.';
 const EXPIRY_MARGIN_MS = 100; // so that a refusal reaches the caller before its deadline
 const EXCHANGE_GRACE_MS = 500; // the worker's own error response at the deadline may still arrive
 
@@ -144,6 +145,23 @@
     }
   }
 
+  /**
+   * Whether the local worker sends a request in the course of one that it runs:
+   * workers extend the id of that one.
+   */
+  isCallOfWorker(requestId: string | undefined): boolean {
+    if (!requestId) {
+      return false;
+    }
+    for (const {request} of this.#running) {
+      const parentId = request.requestId;
+      if (parentId && requestId.startsWith(`${parentId}${CALL_ID_SEPARATOR}`)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Sends a request to the worker at once, queues it, or refuses it. */
   submit(request: GateRequest): GateTicket {
     let resolve!: (result: GateResult) => void;
--- a/calls/relay/test/left_sender.test.ts
+++ b/calls/relay/test/left_sender.test.ts
@@ -48,6 +48,7 @@
     workerLoads: new WorkerLoads(clock, 2000),
     peerHealth: {isDown: () => false},
     workerGate: {
+      isCallOfWorker: () => false,
       load: {queued: []},
       submit: () => {
         onSubmit();
