fix(relay): notice a silent hop before a short request is late

Cause: interim responses every 200 ms and silence after 600 ms were absolute times. Where a response is due within 200 ms and the caller leaves after 800, a hop to a VM that was cut off was noticed when it was of no use.

The sender states in x-cs-interim when it expects the first interim response; relays that do not know the header send it as before, and are then taken for silent early, which only hedges.

--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -33,6 +33,7 @@
   hopHeaders.request,
   hopHeaders.response,
   hopHeaders.knownRateLimit,
+  hopHeaders.firstInterimMs,
   hopHeaders.resent,
   hopHeaders.sentAt,
   hopHeaders.statement,
