fix(relay): refuse what cannot be sent from a VM that is cut off

Cause: a relay that reached no other VM stayed ready and went on to send requests to workers that it knew as down, as a last resort.

Change: a worker is not chosen if two probes of its VM in a row opened no connection; the request is refused at once if no other is left. If three VMs or more have failed and none was heard of for 500 ms, the VM itself is cut off: its relay uses only the worker beside it and reports that it is not ready, so that the platform sends its callers elsewhere. A refused connection counts as contact, because the network works then. The probe moves to a file of its own, so that these decisions are tested without a network.

Measured: peer_health and choose_worker have tests that fail before.

--- a/calls/placement/src/choose_worker.ts
+++ b/calls/placement/src/choose_worker.ts
@@ -19,6 +19,8 @@
   estimate: (worker: MeshWorker) => LoadEstimate;
   /** Whether the VM of the worker is marked as down. */
   isUnreachable: (worker: MeshWorker) => boolean;
+  /** Whether no request can reach the worker. */
+  isCutOff: (worker: MeshWorker) => boolean;
   /** Whether the worker must receive no more requests. */
   hasLeft: (worker: MeshWorker) => boolean;
   /** Workers that were already tried for this request. */
@@ -50,14 +52,17 @@
  * local data centre, because sending it elsewhere gains nothing. Workers that
  * are leaving, failing or unreachable are used only if there is no other.
  *
- * @return undefined when every worker was tried or has left.
+ * @return undefined when every worker was tried, has left or is cut off.
  */
 export function chooseWorker(
   options: ChooseWorkerOptions,
 ): WorkerChoice | undefined {
   const {workers, triedWorkerIds, random, dataCentre} = options;
   const untried = workers.filter(
-    worker => !triedWorkerIds.has(worker.id) && !options.hasLeft(worker),
+    worker =>
+      !triedWorkerIds.has(worker.id) &&
+      !options.hasLeft(worker) &&
+      !options.isCutOff(worker),
   );
   if (random.nextFloat() < FIRST_TRY_SHARE) {
     const unknownLoad = preferredCandidates(untried, options).filter(
--- a/calls/placement/test/choose_worker.test.ts
+++ b/calls/placement/test/choose_worker.test.ts
@@ -44,6 +44,7 @@
       ...loads[worker.id],
     }),
     isUnreachable: () => false,
+    isCutOff: () => false,
     hasLeft: () => false,
     triedWorkerIds: new Set(),
     random: new SeededRandom(3),
@@ -93,6 +94,12 @@
     expect(choose({1: {isDown: true}})?.worker.id).to.equal('2');
   });
 
+  it('guards against waiting for a worker that no request can reach', () => {
+    const isCutOff = (worker: MeshWorker) => worker.id === LOCAL.id;
+    expect(choose({}, {isCutOff})?.worker.id).to.equal('2');
+    expect(choose({}, {isCutOff: () => true})).to.equal(undefined);
+  });
+
   it('uses a failing worker as a last resort', () => {
     const workers = [LOCAL];
     const choice = choose({1: {failureShare: 0.9}}, {workers});
--- a/calls/relay/src/attempt.ts
+++ b/calls/relay/src/attempt.ts
@@ -153,6 +153,7 @@
       }
       return failureToAttemptResult(result);
     }
+    peerHealth.recordContact();
     const hopResponse = decodeHopResponse(
       headerValue(result.headers, hopHeaders.response),
     );
--- a/calls/relay/src/index.ts
+++ b/calls/relay/src/index.ts
@@ -9,6 +9,7 @@
 export * from './outbound_handler.js';
 export * from './peer_health.js';
 export * from './peer_pools.js';
+export * from './probe_relay.js';
 export * from './read_delay_probe.js';
 export * from './relay_context.js';
 export * from './request_dispatcher.js';
--- a/calls/relay/src/peer_health.ts
+++ b/calls/relay/src/peer_health.ts
@@ -1,6 +1,5 @@
 import type {Clock, Timer} from '@carobseam/core.types';
-import http from 'node:http';
-import {HEALTH_PROBE} from './health_probe.js';
+import {probeRelay, type FailedProbe, type ProbeResult} from './probe_relay.js';
 
 const PROBE_INTERVAL_MS = 300; // a restarted relay listens within a second
 const MAX_PROBE_INTERVAL_MS: Record<FailedProbe, number> = {
@@ -8,7 +7,9 @@
   notConnected: 600,
   unanswered: 1200, // spares a relay that is overloaded
 };
-const PROBE_TIMEOUT_MS = 300; // a response from another data centre takes a few ms
+const CUT_OFF_PROBES = 2; // one may be lost on a link that drops packets
+const ISOLATED_VMS = 3; // that failed since the last contact; fewer may have failed by themselves
+const ISOLATED_MS = 500; // without contact; a VM that is short of processor time reads some responses within it
 const ENDED_PROBES = 3; // a relay that restarts refuses connections for a moment
 
 /** Options of `PeerHealth`. */
@@ -21,6 +22,8 @@
    * ended, `left` that the VM has no worker any more.
    */
   onChange: (vmAddress: string, change: PeerChange) => void;
+  /** Asks the relay of a VM for a sign of life; by default over HTTP. */
+  probe?: (vmAddress: string) => Promise<ProbeResult>;
 }
 
 /** Change of the health of a VM. */
@@ -31,14 +34,10 @@
   intervalMs: number;
   /** Probes in a row whose connection was refused. */
   refusedConnections: number;
+  /** Probes in a row whose connection was not opened. */
+  unopenedConnections: number;
 }
 
-/** Why a probe failed; `refused` means that no process listens on the VM. */
-type FailedProbe = 'unanswered' | 'notConnected' | 'refused';
-
-/** Result of one probe. */
-type ProbeResult = 'answered' | FailedProbe;
-
 /**
  * Active health checks of the VMs that failed. A VM to which a request failed
  * counts as down and is probed until its relay responds. An accepted connection
@@ -49,10 +48,14 @@
   readonly #options: PeerHealthOptions;
   readonly #down = new Map<string, DownVm>();
   readonly #lastAnswerMs = new Map<string, number>();
+  /** VMs that have failed since another VM was last heard of. */
+  readonly #failedSinceContact = new Set<string>();
+  #lastContactMs: number;
   #isClosed = false;
 
   constructor(options: PeerHealthOptions) {
     this.#options = options;
+    this.#lastContactMs = options.clock.monotonicMs();
   }
 
   /** Number of VMs that are down. */
@@ -82,12 +85,43 @@
     return this.#lastAnswerMs.get(vmAddress) ?? -Infinity;
   }
 
+  /**
+   * Whether this VM is cut off from the others: several have failed, and none was
+   * heard of for some time.
+   */
+  get isIsolated(): boolean {
+    const silentMs = this.#options.clock.monotonicMs() - this.#lastContactMs;
+    return (
+      this.#failedSinceContact.size >= ISOLATED_VMS && silentMs >= ISOLATED_MS
+    );
+  }
+
+  /** Whether no connection to a VM can be opened, as repeated probes showed. */
+  isCutOff(vmAddress: string): boolean {
+    const unopened = this.#down.get(vmAddress)?.unopenedConnections ?? 0;
+    return unopened >= CUT_OFF_PROBES || this.isIsolated;
+  }
+
+  /** Records that another VM was heard of. */
+  recordContact(): void {
+    this.#lastContactMs = this.#options.clock.monotonicMs();
+    this.#failedSinceContact.clear();
+  }
+
   /** Marks a VM as down and probes it until its relay responds. */
   markDown(vmAddress: string): void {
-    if (this.#isClosed || this.#down.has(vmAddress)) {
+    if (this.#isClosed) {
+      return;
+    }
+    this.#failedSinceContact.add(vmAddress);
+    if (this.#down.has(vmAddress)) {
       return;
     }
-    const vm = {intervalMs: PROBE_INTERVAL_MS, refusedConnections: 0};
+    const vm = {
+      intervalMs: PROBE_INTERVAL_MS,
+      refusedConnections: 0,
+      unopenedConnections: 0,
+    };
     this.#down.set(vmAddress, vm);
     this.#options.onChange(vmAddress, 'down');
     this.#probe(vmAddress, vm);
@@ -121,41 +155,20 @@
   }
 
   #probe(vmAddress: string, vm: DownVm): void {
-    let result: ProbeResult = 'notConnected';
-    const request = http.request({
-      host: vmAddress,
-      port: this.#options.port,
-      method: HEALTH_PROBE.method,
-      path: HEALTH_PROBE.url,
-      agent: false,
-    });
-    const timer = this.#options.clock.setTimer(PROBE_TIMEOUT_MS, () =>
-      // After a delay of the event loop, timers run before sockets are read.
-      setImmediate(() => request.destroy()),
-    );
-    request.on('socket', socket =>
-      socket.on('connect', () => (result = 'unanswered')),
-    );
-    request.on('response', response => {
-      result = 'answered';
-      response.destroy();
-    });
-    request.on('error', (error: NodeJS.ErrnoException) => {
-      if (error.code === 'ECONNREFUSED') {
-        result = 'refused';
-      }
-    });
-    request.on('close', () => {
-      timer.cancel();
-      this.#handleProbeResult(vmAddress, vm, result);
-    });
-    request.end();
+    const {probe, clock, port} = this.#options;
+    const result = probe
+      ? probe(vmAddress)
+      : probeRelay({clock, host: vmAddress, port});
+    void result.then(probed => this.#handleProbeResult(vmAddress, vm, probed));
   }
 
   #handleProbeResult(vmAddress: string, vm: DownVm, result: ProbeResult): void {
     if (this.#down.get(vmAddress) !== vm) {
       return;
     }
+    if (result === 'answered' || result === 'refused') {
+      this.recordContact();
+    }
     if (result === 'answered') {
       this.#down.delete(vmAddress);
       this.#lastAnswerMs.set(vmAddress, this.#options.clock.monotonicMs());
@@ -164,6 +177,8 @@
     }
     vm.refusedConnections =
       result === 'refused' ? vm.refusedConnections + 1 : 0;
+    vm.unopenedConnections =
+      result === 'notConnected' ? vm.unopenedConnections + 1 : 0;
     if (vm.refusedConnections === ENDED_PROBES) {
       this.#options.onChange(vmAddress, 'ended');
     }
--- a/calls/relay/src/request_dispatcher.ts
+++ b/calls/relay/src/request_dispatcher.ts
@@ -114,6 +114,9 @@
       estimate: worker =>
         context.workerLoads.estimate(worker, priorityClassOf(request.route)),
       isUnreachable: worker => context.peerHealth.isDown(vmAddressOf(worker)),
+      isCutOff: worker =>
+        worker.address !== context.workerAddress &&
+        context.peerHealth.isCutOff(vmAddressOf(worker)),
       hasLeft: worker => context.workerLoads.hasLeft(worker),
       triedWorkerIds: this.#triedWorkerIds,
       random: context.random,
--- a/calls/relay/test/left_sender.test.ts
+++ b/calls/relay/test/left_sender.test.ts
@@ -46,7 +46,7 @@
       workersOf: () => [worker],
     },
     workerLoads: new WorkerLoads(clock, 2000),
-    peerHealth: {isDown: () => false},
+    peerHealth: {isDown: () => false, isCutOff: () => false},
     workerGate: {
       isCallOfWorker: () => false,
       load: {queued: []},
--- a/calls/relay/test/load_simulator.ts
+++ b/calls/relay/test/load_simulator.ts
@@ -210,6 +210,7 @@
       estimate: worker =>
         workerLoads.estimate(worker, priorityClassOf(attempt)),
       isUnreachable: () => false,
+      isCutOff: () => false,
       hasLeft: () => false,
       triedWorkerIds: attempt.triedWorkerIds,
       random: this.#random,
--- a/calls/relay/test/peer_health.test.ts
+++ b/calls/relay/test/peer_health.test.ts
@@ -1,5 +1,5 @@
-import {PeerHealth} from '@carobseam/calls.relay';
-import {SystemClock} from '@carobseam/core.clock';
+import {PeerHealth, type ProbeResult} from '@carobseam/calls.relay';
+import {ManualClock, SystemClock} from '@carobseam/core.clock';
 import {expect} from 'chai';
 import http from 'node:http';
 import net from 'node:net';
@@ -27,6 +27,29 @@
   return {health, changes, port};
 }
 
+/** Creates a PeerHealth whose probes find no connection until told otherwise. */
+function createProbedHealth() {
+  const clock = new ManualClock();
+  let result: ProbeResult = 'notConnected';
+  const health = new PeerHealth({
+    clock,
+    port: 1,
+    onChange: () => {},
+    probe: () => Promise.resolve(result),
+  });
+  const probeAll = async () => {
+    for (let passedMs = 0; passedMs < 2000; passedMs += 100) {
+      await new Promise(resolve => setImmediate(resolve));
+      clock.advance(100);
+    }
+  };
+  return {
+    health,
+    probeAll,
+    setResult: (next: ProbeResult) => (result = next),
+  };
+}
+
 const waitForProbe = () =>
   new Promise(resolve => setTimeout(resolve, PROBE_CYCLE_MS));
 
@@ -80,6 +103,37 @@
     health.close();
   });
 
+  it('guards against waiting for other VMs while this one is cut off', async () => {
+    const {health, probeAll, setResult} = createProbedHealth();
+    ['a', 'b', 'c'].forEach(vm => health.markDown(vm));
+    expect(health.isIsolated).to.equal(false);
+    await probeAll();
+    expect([health.isIsolated, health.isCutOff('d')]).to.deep.equal([
+      true,
+      true,
+    ]);
+    setResult('answered');
+    await probeAll();
+    expect([health.isIsolated, health.isCutOff('a')]).to.deep.equal([
+      false,
+      false,
+    ]);
+  });
+
+  it('guards against taking the loss of other VMs for an isolation of this one', async () => {
+    for (const result of ['refused', 'answered'] as const) {
+      const {health, probeAll, setResult} = createProbedHealth();
+      setResult(result);
+      ['a', 'b', 'c', 'd'].forEach(vm => health.markDown(vm));
+      await probeAll();
+      expect(health.isIsolated).to.equal(false);
+    }
+    const {health, probeAll} = createProbedHealth();
+    ['a', 'b'].forEach(vm => health.markDown(vm));
+    await probeAll();
+    expect(health.isIsolated).to.equal(false);
+  });
+
   it('marks a VM as up once its relay responds', async () => {
     const {health, changes, port} = await createHealth();
     health.markDown(VM);
--- a/calls/relay/test/request_dispatcher.test.ts
+++ b/calls/relay/test/request_dispatcher.test.ts
@@ -70,7 +70,12 @@
     state: {workersOf: () => [worker], config: {version: 3}},
     workerLoads: new WorkerLoads(clock, 2000),
     dataCentre: worker.dataCentre,
-    peerHealth: {isDown: () => false, markDown: () => {}},
+    peerHealth: {
+      isDown: () => false,
+      isCutOff: () => false,
+      recordContact: () => {},
+      markDown: () => {},
+    },
     peerPools: {
       poolFor: () => ({
         exchange: () => {
--- a/calls/relay/test/silent_hop.test.ts
+++ b/calls/relay/test/silent_hop.test.ts
@@ -154,6 +154,8 @@
     workerLoads: new WorkerLoads(clock, 2000),
     peerHealth: {
       isDown: (vmAddress: string) => downVms.includes(vmAddress),
+      isCutOff: () => false,
+      recordContact: () => {},
       hasEnded: () => options.hasRelayEnded ?? false,
       lastAnswerMs: options.lastAnswerMs ?? (() => -Infinity),
       markDown: (vmAddress: string) => downVms.push(vmAddress),
--- a/calls/relay/test/streamed_body.test.ts
+++ b/calls/relay/test/streamed_body.test.ts
@@ -70,7 +70,12 @@
     state: {workersOf: () => workers},
     workerLoads: new WorkerLoads(clock, 2000),
     dataCentre: workers[0]!.dataCentre,
-    peerHealth: {isDown: () => false, markDown: () => {}},
+    peerHealth: {
+      isDown: () => false,
+      isCutOff: () => false,
+      recordContact: () => {},
+      markDown: () => {},
+    },
     peerPools: {
       poolFor: () => ({
         exchange: (request: ExchangeRequest) => ({
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -379,7 +379,9 @@
 
   #respondReadiness(_request: IncomingMessage, response: ServerResponse): void {
     const isReady =
-      !this.#shutdown.isDraining && this.#state.config !== undefined;
+      !this.#shutdown.isDraining &&
+      !this.#peerHealth.isIsolated &&
+      this.#state.config !== undefined;
     response.sendDate = false;
     response.writeHead(isReady ? 200 : 503, ['Content-Length', '0']);
     response.end();
