fix(exchange): limit the memory of all buffered responses together

Cause: each response was kept up to 256 KB until it was complete. With 1,200 responses in flight, for example of workers that send without end, that is 300 MB on VMs of 200 to 350 MB; the process would be killed and with it the requests of all other callers.

Change: ResponseBuffers, shared by the pools to other relays: beyond 32 MB a body is streamed at once, with backpressure. A streamed response cannot be replaced by a repeat, and breaks off when its worker does.

--- a/calls/exchange/src/connection_pool.ts
+++ b/calls/exchange/src/connection_pool.ts
@@ -8,10 +8,12 @@
   FailureReason,
 } from './exchange_types.js';
 import {HttpConnection} from './http_connection.js';
+import {ResponseBuffers} from './response_buffers.js';
 
 const LOST_IDLE_SHARE = 0.5; // of the idle time after which a connection was found closed
 const MIN_IDLE_MS = 50; // shorter idle times occur between the requests of one burst
 const IDLE_GROWTH_FACTOR = 1.5; // per second; from the minimum to 4 s in 11 s
+const MAX_BUFFERED_BYTES = 32 * 1024 * 1024; // a sixth of the memory of the smallest VM
 const KEEP_ALIVE_MARGIN_MS = 1000; // the server measures the time with its own clock
 
 /** Result of an exchange for which no connection could be opened. */
@@ -39,6 +41,8 @@
    * reused connection, and while the request is being sent.
    */
   isRequestIdEchoed?: boolean;
+  /** Shared by pools that share memory; by default the pool has its own. */
+  buffers?: ResponseBuffers;
   /** Called for each new connection. */
   onOpen?: () => void;
 }
@@ -58,6 +62,7 @@
 export class ConnectionPool {
   readonly #options: ConnectionPoolOptions;
   readonly #address: {host: string; port: number};
+  readonly #buffers: ResponseBuffers;
   readonly #open = new Set<HttpConnection>();
   #idle: IdleConnection[] = [];
   /** Maximum idle time after which a connection is still reused. */
@@ -65,6 +70,7 @@
 
   constructor(options: ConnectionPoolOptions) {
     this.#options = options;
+    this.#buffers = options.buffers ?? new ResponseBuffers(MAX_BUFFERED_BYTES);
     this.#maxReuseIdleMs = options.idleTtlMs;
     this.#address = splitAddress(options.address);
   }
@@ -162,6 +168,7 @@
         connectTimeoutMs: this.#options.connectTimeoutMs,
         requestIdHeader: this.#options.requestIdHeader,
         isRequestIdEchoed: this.#options.isRequestIdEchoed,
+        buffers: this.#buffers,
         onIdle: idle => this.#putIdle(idle),
         onClose: closed => this.#remove(closed),
       });
--- a/calls/exchange/src/http_connection.ts
+++ b/calls/exchange/src/http_connection.ts
@@ -13,28 +13,16 @@
   createPendingExchange,
   type PendingExchange,
 } from './pending_exchange.js';
+import type {HttpConnectionOptions} from './http_connection_options.js';
 import {parseKeepAlive} from './parse_keep_alive.js';
 import {encodeRequestHead} from './request_head.js';
 import {ResponseReader, type ResponseHead} from './response_reader.js';
 import {untilDrained} from './until_drained.js';
 
-const MAX_BUFFERED_BYTES = 256 * 1024; // eight times the size of the largest usual body; larger ones are streamed
+const MAX_SECTION_BYTES = 256 * 1024; // of a body with its chunk heads, before it is streamed
 const MAX_INTERIM_RESPONSES = 2000; // a relay sends five a second
 const MAX_SKIPPED_BYTES = 1024 * 1024; // one large extra response; interim responses of a relay take 8 KB a minute
 
-/** Options of `HttpConnection`. */
-export interface HttpConnectionOptions {
-  host: string;
-  port: number;
-  connectTimeoutMs: number;
-  requestIdHeader: string;
-  /** See `ConnectionPoolOptions`. */
-  isRequestIdEchoed?: boolean;
-  /** Called each time the connection becomes idle after an exchange. */
-  onIdle: (connection: HttpConnection) => void;
-  onClose: (connection: HttpConnection) => void;
-}
-
 /**
  * One HTTP/1.1 connection to a worker or to another relay, for one request at a
  * time. A connection that has received unexpected bytes is not reused.
@@ -187,7 +175,7 @@
         this.#fail('no_response_head');
       }
     } else if (
-      current.sectionBytes > MAX_BUFFERED_BYTES &&
+      current.sectionBytes > MAX_SECTION_BYTES &&
       this.#current === current &&
       !current.stream
     ) {
@@ -248,9 +236,11 @@
       }
       return;
     }
+    const {buffers} = this.#options;
+    const isKept = buffers.take(chunk.length, current.bytes);
     current.chunks.push(chunk);
     current.bytes += chunk.length;
-    if (current.bytes > MAX_BUFFERED_BYTES) {
+    if (!isKept) {
       this.#startStream(current);
     }
   }
@@ -272,6 +262,7 @@
     for (const chunk of current.chunks) {
       current.stream.push(chunk);
     }
+    this.#releaseBuffers(current);
     current.onResult({
       kind: 'response',
       status: current.head!.status,
@@ -303,6 +294,7 @@
         headers: current.head!.headers,
         body: Buffer.concat(current.chunks, current.bytes),
       });
+      this.#releaseBuffers(current);
     }
     if (this.isUsable) {
       // Extra bytes of the same read must be parsed before the next request.
@@ -361,6 +353,7 @@
       return;
     }
     clearTimeout(current.silenceTimer);
+    this.#releaseBuffers(current);
     if (current.stream) {
       current.stream.destroy(new Error(`response ended early: ${reason}`));
       return;
@@ -373,6 +366,12 @@
     current.onResult({kind, reason, receivedBytes, receivedInterims, silentMs});
   }
 
+  #releaseBuffers(current: PendingExchange): void {
+    this.#options.buffers.release(current.bytes);
+    current.chunks = [];
+    current.bytes = 0;
+  }
+
   #restartSilenceTimer(current: PendingExchange): void {
     const {silenceWatch} = current.request;
     if (!silenceWatch || current.stream) {
--- a/calls/relay/src/peer_pools.ts
+++ b/calls/relay/src/peer_pools.ts
@@ -1,4 +1,4 @@
-import {ConnectionPool} from '@carobseam/calls.exchange';
+import {ConnectionPool, ResponseBuffers} from '@carobseam/calls.exchange';
 import type {Clock} from '@carobseam/core.types';
 import {wireHeaders} from '@carobseam/platform.adapter';
 
@@ -6,11 +6,14 @@
 const IDLE_TTL_MS = 8000; // below the keep-alive timeout of the relays' servers
 const MAX_IDLE = 64; // twice the slots of the largest worker in the users' specification
 
+const MAX_BUFFERED_BYTES = 32 * 1024 * 1024; // a sixth of the memory of the smallest VM
+
 /** Connection pools to the relays on other VMs, one for each VM. */
 export class PeerPools {
   readonly #clock: Clock;
   readonly #port: number;
   readonly #byVm = new Map<string, ConnectionPool>();
+  readonly #buffers = new ResponseBuffers(MAX_BUFFERED_BYTES);
 
   /** @param port inbound port of all relays. */
   constructor(clock: Clock, port: number) {
@@ -29,6 +32,7 @@
         idleTtlMs: IDLE_TTL_MS,
         maxIdle: MAX_IDLE,
         requestIdHeader: wireHeaders.requestId,
+        buffers: this.#buffers,
       });
       this.#byVm.set(vmAddress, pool);
     }
