fix(feed_server): respond to a path that is no URL

Cause: the control address parsed the path as a URL. '//' raised an error outside of any request, and its sender waited for a response for ever. The handler in bin.ts kept the process alive.

Change: path and query are split at the question mark.

Measured: control_address.test.ts, 'no response' for '//' before, 404 after; its five other cases passed before.

--- a/fleet/follower/src/feed_server.ts
+++ b/fleet/follower/src/feed_server.ts
@@ -24,15 +24,15 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const url = new URL(request.url ?? '/', 'http://relay');
-    if (url.pathname !== FEED_PATH) {
+    const [path, query] = (request.url ?? '').split('?');
+    if (path !== FEED_PATH) {
       response.writeHead(404, ['Content-Length', '0']);
       response.end();
       return;
     }
     const {feed, role} = this.#options;
     const feedResponse = await feed.respond(
-      decodeFeedRequest(url.searchParams),
+      decodeFeedRequest(new URLSearchParams(query)),
       role,
     );
     const acceptsGzip = request.headers['accept-encoding'] === GZIP;
