--- a/calls/relay/src/attempt.ts
+++ b/calls/relay/src/attempt.ts
@@ -10,15 +10,15 @@
 import {
   decodeHopResponse,
   decodeHopStatement,
-  encodeFirstInterim,
   encodeKnownRateLimit,
   encodeHopRequest,
   hopHeaders,
 } from './hop_message.js';
-import {hopTimesOf, type HopTimes} from './hop_times.js';
 import type {RelayContext} from './relay_context.js';
 
-const SILENCE_INTERVALS = 2; // until a hop counts as silent, so that a denied retry is tried again soon
+const SILENCE_INTERVAL_MS = 300; // half of the time until a hop counts as silent, so that a denied retry is tried again soon
+const SILENT_HOP_MS = 600; // the worker's relay sends an interim response every 200 ms; two may be late
+const DEAD_CONNECTION_MS = 1000; // a relay that answers probes all the while sends an interim response within this time
 
 /** Options of `Attempt`. */
 export interface AttemptOptions {
@@ -43,7 +43,6 @@
   /** Whether another attempt was started because this one is silent. */
   isHedged = false;
   readonly #options: AttemptOptions;
-  readonly #hopTimes: HopTimes;
   #cancel: () => void = () => {};
   /** Start of the current silence of the hop, on the monotonic clock, in ms. */
   #silentSinceMs = Infinity;
@@ -52,7 +51,6 @@
 
   constructor(options: AttemptOptions) {
     this.#options = options;
-    this.#hopTimes = hopTimesOf(options.request.route.targetLatencyMs);
     this.worker = options.worker;
     this.startMs = options.context.clock.monotonicMs();
   }
@@ -119,7 +117,6 @@
       hopHeaders.sentAt,
       context.hopStamps.stamp(),
       ...encodeKnownRateLimit(limitPerS),
-      ...encodeFirstInterim(this.#hopTimes.firstInterimMs),
       ...(this.#options.isResent ? [hopHeaders.resent, '1'] : []),
     ];
   }
@@ -138,11 +135,9 @@
       body: request.body,
       requestId: request.id,
       silenceWatch: {
-        intervalMs: this.#hopTimes.silentMs / SILENCE_INTERVALS,
+        intervalMs: SILENCE_INTERVAL_MS,
         onSilent: silentMs =>
-          silentMs < this.#hopTimes.silentMs
-            ? 'wait'
-            : this.#handleSilence(silentMs),
+          silentMs < SILENT_HOP_MS ? 'wait' : this.#handleSilence(silentMs),
       },
     });
     this.#cancel = () => exchange.cancel();
@@ -180,7 +175,7 @@
    */
   #handleSilence(silentMs: number): 'wait' | 'end' {
     const {context, request, onSilent} = this.#options;
-    const isFirst = silentMs === this.#hopTimes.silentMs;
+    const isFirst = silentMs === SILENT_HOP_MS;
     if (isFirst) {
       this.#silentSinceMs = context.clock.monotonicMs();
       this.#firstAnswerMs = Infinity;
@@ -200,7 +195,6 @@
    */
   #isHopDead(): boolean {
     const {clock, peerHealth} = this.#options.context;
-    const {deadConnectionMs} = this.#hopTimes;
     const vmAddress = vmAddressOf(this.worker);
     if (peerHealth.hasEnded(vmAddress)) {
       return true;
@@ -210,10 +204,10 @@
       return false;
     }
     this.#firstAnswerMs = Math.min(this.#firstAnswerMs, answerMs);
-    if (answerMs - this.#firstAnswerMs >= deadConnectionMs) {
+    if (answerMs - this.#firstAnswerMs >= DEAD_CONNECTION_MS) {
       return true;
     }
-    if (clock.monotonicMs() - this.#firstAnswerMs >= deadConnectionMs) {
+    if (clock.monotonicMs() - this.#firstAnswerMs >= DEAD_CONNECTION_MS) {
       peerHealth.markDown(vmAddress); // probes it once more
     }
     return false;
--- a/calls/relay/src/hop_message.ts
+++ b/calls/relay/src/hop_message.ts
@@ -4,7 +4,6 @@
   WorkerRateLimit,
 } from '@carobseam/calls.worker_queue';
 import type {WorkerId} from '@carobseam/config.mesh';
-import {hopTimesFrom} from './hop_times.js';
 
 /** Headers between two relays; the values are lists separated by semicolons. */
 export const hopHeaders = {
@@ -12,8 +11,6 @@
   response: 'x-cs-load',
   /** When the request was written, by the sender's clock; see `HopStamps`. */
   sentAt: 'x-cs-sent',
-  /** Only in requests whose sender expects interim responses sooner than usual. */
-  firstInterimMs: 'x-cs-interim',
   /** Only in requests of which an attempt at another worker has failed. */
   resent: 'x-cs-resent',
   /** Only in requests for a worker whose rate limit the sender knows. */
@@ -126,13 +123,6 @@
   ].join(';');
 }
 
-/** Encodes when the sender expects the first interim response, as a header. */
-export function encodeFirstInterim(firstInterimMs: number): string[] {
-  return firstInterimMs === hopTimesFrom(undefined).firstInterimMs
-    ? []
-    : [hopHeaders.firstInterimMs, String(Math.round(firstInterimMs))];
-}
-
 /** Encodes a known rate limit as a header; there is none without a limit. */
 export function encodeKnownRateLimit(perS: number | undefined): string[] {
   return perS === undefined ? [] : [hopHeaders.knownRateLimit, String(perS)];
--- a/calls/relay/src/inbound_handler.ts
+++ b/calls/relay/src/inbound_handler.ts
@@ -16,7 +16,6 @@
   toQueuedRequest,
   type HopRequest,
 } from './hop_message.js';
-import {hopTimesFrom} from './hop_times.js';
 import {gateTimes, roundMs} from './log_times.js';
 import {BodyTooLargeError, readBody} from './read_body.js';
 import type {RelayContext} from './relay_context.js';
@@ -25,11 +24,12 @@
 import {hasSenderLeft, onceClosed} from './sender_presence.js';
 import type {GateResult, GateTicket} from './gate_request.js';
 
+const FIRST_INTERIM_MS = 150; // most responses arrive sooner
+const INTERIM_INTERVAL_MS = 200; // two may be late before the hop counts as silent
 const MAX_BODY_BYTES = 1024 * 1024 * 1024; // the sending relay has applied the caller's limit
 const EXCLUDED_HEADERS = new Set<string>([
   hopHeaders.request,
   hopHeaders.knownRateLimit,
-  hopHeaders.firstInterimMs,
   hopHeaders.resent,
   hopHeaders.sentAt,
   wireHeaders.deadlineMs,
@@ -184,7 +184,7 @@
     headers.push(wireHeaders.expectedWorker, hop.worker);
     const ticket = workerGate.submit({
       worker: hop.worker,
-      knownRateLimitPerS: positiveNumberOf(request, hopHeaders.knownRateLimit),
+      knownRateLimitPerS: knownRateLimitOf(request),
       isIdempotent: hop.isIdempotent,
       scheduling,
       method: request.method!,
@@ -222,17 +222,14 @@
   ): HopProgress {
     const {clock} = this.#options;
     const progress: HopProgress = {interims: 0};
-    const times = hopTimesFrom(
-      positiveNumberOf(request, hopHeaders.firstInterimMs),
-    );
     const sendInterim = () => {
       if (!response.headersSent && !response.destroyed) {
         response.writeProcessing();
         progress.interims++;
-        timer = clock.setTimer(times.interimIntervalMs, sendInterim);
+        timer = clock.setTimer(INTERIM_INTERVAL_MS, sendInterim);
       }
     };
-    let timer = clock.setTimer(times.firstInterimMs, sendInterim);
+    let timer = clock.setTimer(FIRST_INTERIM_MS, sendInterim);
     onceClosed(request, response, () => {
       timer.cancel();
       progress.closedMs = clock.monotonicMs();
@@ -327,12 +324,9 @@
   }
 }
 
-function positiveNumberOf(
-  request: IncomingMessage,
-  header: string,
-): number | undefined {
-  const value = Number(request.headers[header]);
-  return value > 0 ? value : undefined;
+function knownRateLimitOf(request: IncomingMessage): number | undefined {
+  const perS = Number(request.headers[hopHeaders.knownRateLimit]);
+  return perS > 0 ? perS : undefined;
 }
 
 function requestIdOf(request: IncomingMessage): string | undefined {
--- a/calls/relay/src/index.ts
+++ b/calls/relay/src/index.ts
@@ -4,7 +4,6 @@
 export * from './gate_request.js';
 export * from './hop_delay.js';
 export * from './hop_message.js';
-export * from './hop_times.js';
 export * from './inbound_handler.js';
 export * from './outbound_handler.js';
 export * from './peer_health.js';
--- a/calls/relay/src/outbound_handler.ts
+++ b/calls/relay/src/outbound_handler.ts
@@ -33,7 +33,6 @@
   hopHeaders.request,
   hopHeaders.response,
   hopHeaders.knownRateLimit,
-  hopHeaders.firstInterimMs,
   hopHeaders.resent,
   hopHeaders.sentAt,
   hopHeaders.statement,
