fix(worker_queue): guess unknown service times from the request

Cause: before a worker had responded, its work was taken as 200 ms, the mean of the first users' specification. Where a response is due after 200 ms, no worker without a fresh report counted as in time, and requests of 60 ms were placed in other data centres or refused.

Change: the guess is a third of the time until the response is due, or a twelfth of the time until it expires once it is late. A load report states 0 while nothing is known.

The fixture of worker_queue.test.ts records one response of 200 ms, so that its tests check the same waits as before.

Measured: new tests at targets of 15 ms, 60 ms, 1 s and 10 s.

--- a/calls/placement/src/worker_loads.ts
+++ b/calls/placement/src/worker_loads.ts
@@ -3,7 +3,6 @@
 import type {Clock} from '@carobseam/core.types';
 
 const REPORT_TTL_MS = 2000; // a full queue is served several times within it, so an older report says little
-const DEFAULT_SERVICE_MS = 200; // mean of the work times in the users' specification
 const CONTENTION_THRESHOLD = 0.8; // share of busy slots above which requests of several relays compete for the same slots
 const CONTENTION_COST_SHARE = 0.2; // of the service time, when all slots are busy
 const LEFT_TTL_MS = 60_000; // workers serve on for many seconds after their entries were removed
@@ -175,12 +174,17 @@
    * Estimates the latency of a request at a worker.
    *
    * @param priorityClass class of the request in the worker's queue.
+   * @param guessedServiceMs service time of a worker that has reported none.
    */
-  estimate(worker: MeshWorker, priorityClass: number): LoadEstimate {
+  estimate(
+    worker: MeshWorker,
+    priorityClass: number,
+    guessedServiceMs: number,
+  ): LoadEstimate {
     const state = this.#byWorker.get(worker.id);
     const report = this.#freshReport(state);
     const ownInFlight = state?.ownInFlight ?? 0;
-    const meanMs = report?.meanServiceMs ?? DEFAULT_SERVICE_MS;
+    const meanMs = report?.meanServiceMs || guessedServiceMs;
     const busy = report
       ? report.running +
         countAhead(report.queued, priorityClass) +
--- a/calls/placement/test/worker_loads.test.ts
+++ b/calls/placement/test/worker_loads.test.ts
@@ -7,6 +7,7 @@
 
 const DRAIN_MS = 2000;
 const CLASS = 1;
+const GUESSED_MS = 200;
 
 function createWorker(bornMs = 1): MeshWorker {
   return {
@@ -45,10 +46,10 @@
     const {loads, worker} = createLoads();
     const rateLimit = {perS: 5, available: 0};
     loads.recordReport(worker.id, createReport({rateLimit}));
-    expect(loads.estimate(worker, CLASS).waitMs).to.equal(200);
+    expect(loads.estimate(worker, CLASS, GUESSED_MS).waitMs).to.equal(200);
     loads.recordAttemptStart(worker.id);
     loads.recordAttemptEnd(worker.id);
-    expect(loads.estimate(worker, CLASS).waitMs).to.equal(400);
+    expect(loads.estimate(worker, CLASS, GUESSED_MS).waitMs).to.equal(400);
   });
 
   it('guards against a queue at a limited worker that the estimate leaves out', () => {
@@ -56,7 +57,7 @@
     const queued = [1, 1, 4, 0, 0];
     const rateLimit = {perS: 10, available: 0.5};
     loads.recordReport(worker.id, createReport({queued, rateLimit}));
-    expect(loads.estimate(worker, CLASS).waitMs).to.equal(250);
+    expect(loads.estimate(worker, CLASS, GUESSED_MS).waitMs).to.equal(250);
   });
 
   it('guards against forgetting a limit while a restarted relay does not know it', () => {
@@ -71,7 +72,7 @@
 
   it('guards against avoiding a worker that is back after a crash', () => {
     const {clock, loads, worker} = createLoads();
-    const isDown = () => loads.estimate(worker, CLASS).isDown;
+    const isDown = () => loads.estimate(worker, CLASS, GUESSED_MS).isDown;
     loads.recordDown(worker.id);
     expect(isDown()).to.equal(true);
     loads.recordUp(worker.id);
@@ -84,7 +85,7 @@
   it('guards against requests to a worker that has said that it leaves', () => {
     const {clock, loads, worker} = createLoads();
     loads.markLeaving(worker);
-    expect(loads.estimate(worker, CLASS).isLeaving).to.equal(true);
+    expect(loads.estimate(worker, CLASS, GUESSED_MS).isLeaving).to.equal(true);
     expect(loads.hasLeft(worker)).to.equal(false);
     clock.advance(DRAIN_MS * 0.2);
     loads.markLeaving(worker);
@@ -105,7 +106,9 @@
     clock.advance(5000);
     const restarted = createWorker(worker.bornMs + 1);
     expect(loads.hasLeft(restarted)).to.equal(false);
-    expect(loads.estimate(restarted, CLASS).isLeaving).to.equal(false);
+    expect(loads.estimate(restarted, CLASS, GUESSED_MS).isLeaving).to.equal(
+      false,
+    );
   });
 
   it('guards against keeping the marks of workers that are long gone', () => {
--- a/calls/relay/src/request_dispatcher.ts
+++ b/calls/relay/src/request_dispatcher.ts
@@ -30,7 +30,7 @@
 import type {RelayContext} from './relay_context.js';
 
 const MAX_DOWN_WORKERS = 8; // each takes a few ms to find out
-const SERVICE_SHARE = 0.5; // of the target latency
+const SERVICE_SHARE = 1 / 3; // of the target latency; callers set targets of a few service times
 
 /**
  * Dispatches one request: sends it to a worker and retries with other workers
@@ -112,7 +112,11 @@
       dueInMs: request.dueAtMs - context.clock.monotonicMs(),
       targetLatencyMs: request.route.targetLatencyMs,
       estimate: worker =>
-        context.workerLoads.estimate(worker, priorityClassOf(request.route)),
+        context.workerLoads.estimate(
+          worker,
+          priorityClassOf(request.route),
+          expectedServiceMs(request.route),
+        ),
       isUnreachable: worker => context.peerHealth.isDown(vmAddressOf(worker)),
       isCutOff: worker =>
         worker.address !== context.workerAddress &&
--- a/calls/relay/test/load_simulator.ts
+++ b/calls/relay/test/load_simulator.ts
@@ -208,7 +208,11 @@
       dueInMs: attempt.dueAtMs - this.#clock.monotonicMs(),
       targetLatencyMs: attempt.kind.targetLatencyMs,
       estimate: worker =>
-        workerLoads.estimate(worker, priorityClassOf(attempt)),
+        workerLoads.estimate(
+          worker,
+          priorityClassOf(attempt),
+          attempt.kind.targetLatencyMs / 3,
+        ),
       isUnreachable: () => false,
       isCutOff: () => false,
       hasLeft: () => false,
--- a/calls/worker_queue/src/queued_request.ts
+++ b/calls/worker_queue/src/queued_request.ts
@@ -46,7 +46,7 @@
   slots: number;
   /** Mean service time of each priority class, in ms; 0 when unknown. */
   serviceMs: readonly number[];
-  /** Mean service time of all requests, in ms. */
+  /** Mean service time of all requests, in ms; 0 when unknown. */
   meanServiceMs: number;
   /** Share of recent requests that the worker failed or rejected, 0 to 1. */
   failureShare: number;
--- a/calls/worker_queue/src/service_time_estimate.ts
+++ b/calls/worker_queue/src/service_time_estimate.ts
@@ -1,16 +1,17 @@
 import {PRIORITY_CLASS_COUNT} from './queued_request.js';
 
-const INITIAL_SERVICE_MS = 200; // mean of the work times in the users' specification
 const TIME_WEIGHT = 0.05; // averages over about the last 20 responses
 const FAILURE_WEIGHT = 0.08; // detects a worker that fails half of its requests within ten responses
 
 /** Moving averages of a worker's service times and of its failure share. */
 export class ServiceTimeEstimate {
   readonly #meanByClass = new Array<number>(PRIORITY_CLASS_COUNT).fill(0);
-  #meanMs = INITIAL_SERVICE_MS;
+  /** 0 before the first response. */
+  #meanMs = 0;
   #failureShare = 0;
   #samples = 0;
 
+  /** Mean service time of all requests, in ms; 0 before the first response. */
   get meanMs(): number {
     return this.#meanMs;
   }
@@ -23,7 +24,10 @@
     return this.#failureShare;
   }
 
-  /** Expected service time of a request of a priority class, in ms. */
+  /**
+   * Expected service time of a request of a priority class, in ms; 0 before the
+   * first response.
+   */
   expectedMs(priorityClass: number): number {
     return this.#meanByClass[priorityClass] || this.#meanMs;
   }
@@ -52,7 +56,7 @@
   /** Resets all averages, for a new worker at the address. */
   reset(): void {
     this.#meanByClass.fill(0);
-    this.#meanMs = INITIAL_SERVICE_MS;
+    this.#meanMs = 0;
     this.#failureShare = 0;
     this.#samples = 0;
   }
--- a/calls/worker_queue/src/worker_queue.ts
+++ b/calls/worker_queue/src/worker_queue.ts
@@ -11,6 +11,8 @@
 import {ServiceTimeEstimate} from './service_time_estimate.js';
 
 const SERVICE_MARGIN = 1.25; // work times vary by a third of their mean, and the response takes time to travel
+const GUESSED_SHARE_OF_TARGET = 1 / 3; // callers set targets of a few service times
+const GUESSED_SHARE_OF_DEADLINE = 1 / 12; // deadlines are a few targets
 const LATE_QUEUE_PER_SLOT = 0.25; // callers that can retry find a shorter queue later
 const LAST_ATTEMPT_QUEUE_PER_SLOT = 0.5; // more would expire in the queue
 
@@ -238,16 +240,17 @@
       other => other !== request && !this.#precedes(request, other, nowMs),
     ).length;
     return Math.max(
-      this.#slotWaitMs(aheadCount),
+      this.#slotWaitMs(request, aheadCount),
       this.#limiter.delayMs(aheadCount),
     );
   }
 
-  #slotWaitMs(aheadCount: number): number {
+  #slotWaitMs(request: T, aheadCount: number): number {
     if (this.#running + aheadCount < this.#slots) {
       return 0;
     }
-    return ((aheadCount + 1) * this.estimate.meanMs) / Math.max(1, this.#slots);
+    const meanMs = this.estimate.meanMs || this.#guessServiceMs(request);
+    return ((aheadCount + 1) * meanMs) / Math.max(1, this.#slots);
   }
 
   #classOf(request: T, nowMs: number): number {
@@ -256,7 +259,16 @@
   }
 
   #expectedServiceMs(request: T): number {
-    return this.estimate.expectedMs(priorityClassOf(request)) * SERVICE_MARGIN;
+    const expectedMs = this.estimate.expectedMs(priorityClassOf(request));
+    return (expectedMs || this.#guessServiceMs(request)) * SERVICE_MARGIN;
+  }
+
+  /** Service time of a request while the worker has not responded to any, in ms. */
+  #guessServiceMs({dueAtMs, expiresAtMs}: T): number {
+    const nowMs = this.#nowMs();
+    return dueAtMs > nowMs
+      ? (dueAtMs - nowMs) * GUESSED_SHARE_OF_TARGET
+      : (expiresAtMs - nowMs) * GUESSED_SHARE_OF_DEADLINE;
   }
 
   /** Refuses queued requests that a new limit leaves without a chance in time. */
--- a/calls/worker_queue/test/worker_queue.test.ts
+++ b/calls/worker_queue/test/worker_queue.test.ts
@@ -10,6 +10,9 @@
   name: string;
 }
 
+const OTHER_CLASS = 3; // of which no test submits a request
+const SERVICE_MS = 200;
+
 function createQueue(slots: number) {
   const clock = new ManualClock();
   const started: string[] = [];
@@ -20,6 +23,7 @@
     refuse: (request, reason) => refused.push([request.name, reason]),
   });
   queue.setSlots(slots);
+  queue.estimate.recordSuccess(OTHER_CLASS, SERVICE_MS);
   const submit = (name: string, overrides: Partial<QueuedRequest> = {}) =>
     queue.submit({
       name,
@@ -32,6 +36,37 @@
   return {clock, queue, submit, started, refused};
 }
 
+describe('WorkerQueue before the first response', () => {
+  // Work of 5, 20, 330 and 3300 ms, with targets of three and deadlines of twelve times that.
+  for (const targetMs of [15, 60, 1000, 10_000]) {
+    it(`guards against refusing requests with a target of ${targetMs} ms whose work is short`, () => {
+      const queue = new WorkerQueue<QueuedRequest>({
+        clock: new ManualClock(),
+        start: () => {},
+        refuse: () => {},
+      });
+      queue.setSlots(2);
+      const request = {
+        rank: 1,
+        isLastCallerAttempt: false,
+        dueAtMs: targetMs,
+        expiresAtMs: Math.max(100, targetMs * 4),
+      };
+      const kinds = Array.from(
+        {length: 8},
+        () => queue.submit({...request}).kind,
+      );
+      expect(kinds.slice(0, 4)).to.deep.equal([
+        'start',
+        'start',
+        'queued',
+        'queued',
+      ]);
+      expect(kinds.at(-1)).to.equal('refused');
+    });
+  }
+});
+
 describe('WorkerQueue', () => {
   it('starts requests while slots are free', () => {
     const {submit} = createQueue(2);
