--- a/calls/relay/src/request_dispatcher.ts
+++ b/calls/relay/src/request_dispatcher.ts
@@ -30,7 +30,8 @@
 import type {RelayContext} from './relay_context.js';
 
 const MAX_DOWN_WORKERS = 8; // each takes a few ms to find out
-const SERVICE_SHARE = 1 / 3; // of the target latency; callers set targets of a few service times
+const SERVICE_SHARE = 0.5; // of the target latency
+const GUESSED_SERVICE_SHARE = 1 / 3; // of the target latency; callers set targets of a few service times
 
 /**
  * Dispatches one request: sends it to a worker and retries with other workers
@@ -115,7 +116,7 @@
         context.workerLoads.estimate(
           worker,
           priorityClassOf(request.route),
-          expectedServiceMs(request.route),
+          request.route.targetLatencyMs * GUESSED_SERVICE_SHARE,
         ),
       isUnreachable: worker => context.peerHealth.isDown(vmAddressOf(worker)),
       isCutOff: worker =>
