feat(cli): explain requests that were refused for crashing workers

Cause: explain-request knew neither the outcome quarantined nor the reason workerDown, and left out the line worker_crashed. Change: texts for them, and worker_crashed among the events that a relay believed in at the time. Measured: the new test got no 'Refused for good' before.

--- a/cli/carobseam/src/explain_request.ts
+++ b/cli/carobseam/src/explain_request.ts
@@ -46,6 +46,7 @@
   'vm_left',
   'vm_lost',
   'vm_regained',
+  'worker_crashed',
   'worker_removed',
 ]);
 
@@ -55,6 +56,7 @@
   leaving: 'the worker was leaving and no other had room',
   noWorker: 'no usable worker of the service was known',
   relayLeaves: 'the relay of the worker was about to stop',
+  workerDown: 'the workers that were tried refused connections',
   workerGone: 'the worker had left its address',
   wouldBeLate: 'the queue was too long for a response in time',
   wouldExpire: 'the queue was longer than the caller would wait',
@@ -63,6 +65,7 @@
 const UNKNOWNS: Record<string, string> = {
   connection_lost: 'the worker or its relay ended the connection',
   head_too_large: 'the status line and headers of the response had no end',
+  quarantined: 'it had been sent before it was known that it crashes workers',
   malformed_response: 'the bytes of the worker were no response',
   no_response_head:
     'interim responses or extra responses to other requests had no end',
@@ -94,6 +97,8 @@
     `No route of version ${version} fits host ${host} and the path.`,
   refused: ({reason, retryAfterMs}) =>
     `Refused, nothing ran: ${REFUSALS[reason!] ?? reason}; told to return after ${retryAfterMs} ms.`,
+  quarantined: () =>
+    'Refused for good: it was in flight at several crashes of workers in a row, see the lines worker_crashed.',
   relayEnds: () => 'The relay stopped before there was a response.',
   relayLeaves: () => 'Refused: the relay was about to stop.',
   timeout: ({durationMs}) =>
--- a/cli/carobseam/test/explain_request.test.ts
+++ b/cli/carobseam/test/explain_request.test.ts
@@ -29,6 +29,11 @@
 time=2026-12-04T11:20:10.500Z level=warn event=event_loop_delayed vm=vm-4 delayMs=210
 `;
 
+const QUARANTINING = `
+time=2026-12-05T18:05:06.000Z level=warn event=worker_crashed vm=vm-1 crashId=vm-1-x-1 inFlight=12
+time=2026-12-05T18:05:06.400Z level=warn event=request_ended vm=vm-1 id=q1 route=read reason=quarantined durationMs=1 outcome=quarantined
+`;
+
 function writeLogs(texts = [ENTRY, WORKER]): string[] {
   const dir = mkdtempSync(path.join(tmpdir(), 'carobseam-logs-'));
   return texts.map((text, index) => {
@@ -57,6 +62,16 @@
     expect(text).to.include('left out lines');
   });
 
+  it('guards against a request that is refused for crashing workers without a reason', async () => {
+    const {text} = await captureCli(
+      'explain-request',
+      'q1',
+      ...writeLogs([QUARANTINING]),
+    );
+    expect(text.split('\n')[0]).to.include('Refused for good');
+    expect(text).to.include('event=worker_crashed');
+  });
+
   it('guards against leaving out a delay of the event loop that made a hop silent', async () => {
     const {text} = await captureCli(
       'explain-request',
