refactor(exchange): one default for the memory of buffered responses

Cause: the limit of 32 MB stood in connection_pool.ts and in peer_pools.ts, and a comment of CrashMarks said that only a request with more marks explains a crash, where one with as many does. Change: ResponseBuffers has the default; the comment and the name of a variable follow the rule. No change of behaviour. Measured: 40 tests of exchange, crash_marks and peer_pools pass, and lint of the changed files.

--- a/calls/crash_marks/src/crash_marks.ts
+++ b/calls/crash_marks/src/crash_marks.ts
@@ -64,8 +64,8 @@
   /**
    * A request is refused when runs of it ended in a crash several times in a row,
    * each run started after the mark of an earlier crash was known, unless
-   * something else explains these crashes: another request that was in flight at
-   * more of them, or a common cause such as a deployment. Then the request was in
+   * something else explains these crashes: another request with at least as many
+   * marks that was in flight at most of them, or a common cause such as a deployment. Then the request was in
    * flight at less than half of the crashes between its first and its last mark,
    * without those that other repeatedly marked requests explain.
    */
@@ -77,8 +77,8 @@
       return false;
     }
     const ownIds = new Set(marks.map(({crashId}) => crashId));
-    const strongerIds = this.#crashIdsOfOthers(fingerprint, marks.length);
-    const explained = [...ownIds].filter(id => strongerIds.has(id));
+    const suspectIds = this.#crashIdsOfOthers(fingerprint, marks.length);
+    const explained = [...ownIds].filter(id => suspectIds.has(id));
     if (explained.length * 2 > ownIds.size) {
       return false;
     }
--- a/calls/exchange/src/connection_pool.ts
+++ b/calls/exchange/src/connection_pool.ts
@@ -13,7 +13,6 @@
 const LOST_IDLE_SHARE = 0.5; // of the idle time after which a connection was found closed
 const MIN_IDLE_MS = 50; // shorter idle times occur between the requests of one burst
 const IDLE_GROWTH_FACTOR = 1.5; // per second; from the minimum to 4 s in 11 s
-const MAX_BUFFERED_BYTES = 32 * 1024 * 1024; // a sixth of the memory of the smallest VM
 const KEEP_ALIVE_MARGIN_MS = 1000; // the server measures the time with its own clock
 
 /** Result of an exchange for which no connection could be opened. */
@@ -70,7 +69,7 @@
 
   constructor(options: ConnectionPoolOptions) {
     this.#options = options;
-    this.#buffers = options.buffers ?? new ResponseBuffers(MAX_BUFFERED_BYTES);
+    this.#buffers = options.buffers ?? new ResponseBuffers();
     this.#maxReuseIdleMs = options.idleTtlMs;
     this.#address = splitAddress(options.address);
   }
--- a/calls/exchange/src/response_buffers.ts
+++ b/calls/exchange/src/response_buffers.ts
@@ -1,4 +1,5 @@
 const MAX_RESPONSE_BYTES = 256 * 1024; // eight times the size of the largest usual body; larger ones are streamed
+const DEFAULT_MAX_BYTES = 32 * 1024 * 1024; // a sixth of the memory of the smallest VM
 
 /**
  * Memory for the bodies of responses that are received whole before they are
@@ -10,7 +11,7 @@
   #usedBytes = 0;
 
   /** @param maxBytes limit for all bodies together. */
-  constructor(maxBytes: number) {
+  constructor(maxBytes = DEFAULT_MAX_BYTES) {
     this.#maxBytes = maxBytes;
   }
 
--- a/calls/relay/src/peer_pools.ts
+++ b/calls/relay/src/peer_pools.ts
@@ -6,14 +6,12 @@
 const IDLE_TTL_MS = 8000; // below the keep-alive timeout of the relays' servers
 const MAX_IDLE = 64; // twice the slots of the largest worker in the users' specification
 
-const MAX_BUFFERED_BYTES = 32 * 1024 * 1024; // a sixth of the memory of the smallest VM
-
 /** Connection pools to the relays on other VMs, one for each VM. */
 export class PeerPools {
   readonly #clock: Clock;
   readonly #port: number;
   readonly #byVm = new Map<string, ConnectionPool>();
-  readonly #buffers = new ResponseBuffers(MAX_BUFFERED_BYTES);
+  readonly #buffers = new ResponseBuffers();
 
   /** @param port inbound port of all relays. */
   constructor(clock: Clock, port: number) {
