test(review): count the requests that run when a gone worker ends

Cause: case 5 did not say whether accepted requests were affected. Change: the script counts what runs on a worker when it ends; the check of the rule is unchanged.

--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -69,6 +69,7 @@
   };
   /** Workers whose entries were removed, with the times of their rounds. */
   const gone = [];
+  let cutCount = 0;
   const play = async () => {
     for (let round = 0; round < ROUNDS; round++) {
       const vm = mesh.vms[round % VMS];
@@ -86,8 +87,11 @@
       gone.push({worker: workerId, vm, inTouchMs: endMs + CONTACT_MS, ackMs});
       record.add('entry_removed', {worker: workerId});
       await pause(SERVES_ON_MS);
+      const running = worker.running.size;
+      cutCount += running;
       worker.crash();
-      record.add('worker_ended', {worker: workerId});
+      worker.running.clear();
+      record.add('worker_ended', {worker: workerId, running});
       worker.id = `${workerId.split('.')[0]}.${round + 1}`;
       await worker.start();
       mesh.putWorker(vm);
@@ -121,5 +125,6 @@
     `requests: ${results.size}`,
     `workers that left: ${gone.length}, after a cut of their machine from the store: ${hasTrouble ? gone.length : 0}`,
     `requests that reached one later than drainS after it was gone: ${late.length}, at ${rounds.size} workers`,
+    `requests that ran when their worker ended: ${cutCount}`,
   ]);
 });
