refactor(mesh): versions and deltas leave MeshState

MeshState held worker entries, versions with their deltas, removals that are held back and the indexes in one class of over 400 lines. The versions move to ConfigHistory unchanged, to make room for the removals.

--- a/config/mesh/src/mesh_state.ts
+++ b/config/mesh/src/mesh_state.ts
@@ -1,9 +1,6 @@
 import type {Clock, ServiceName} from '@carobseam/core.types';
-import {
-  applyConfigDelta,
-  diffConfigs,
-  type ConfigDelta,
-} from './config_delta.js';
+import {applyConfigDelta} from './config_delta.js';
+import {ConfigHistory} from './config_history.js';
 import type {
   MeshChanges,
   MeshSnapshot,
@@ -20,7 +17,6 @@
   type WorkerEntry,
 } from './worker_entry.js';
 
-const MAX_RECENT_CONFIGS = 16; // the changes of one second when the users' operators publish at their fastest
 const REMOVED_TTL_MS = 60_000; // several times as long as the users' store keeps its history
 
 /** Options of `MeshState`. */
@@ -48,12 +44,7 @@
   #sequence = 0;
   /** Sequence number at which the workers were last indexed. */
   #indexedSequence = 0;
-  #recentConfigs: MeshConfig[] = [];
-  /** Deltas to `#config`, by the version from which they start. */
-  #deltas = new Map<number, ConfigDelta>();
-  #config?: MeshConfig;
-  /** Monotonic time at which `#config` was first received from the source, in ms. */
-  #configReceivedMs = 0;
+  readonly #configs: ConfigHistory;
   #routes?: RouteTable;
   #byService = new Map<ServiceName, MeshWorker[]>();
   #byAddress = new Map<string, MeshWorker>();
@@ -61,6 +52,7 @@
 
   constructor(options: MeshStateOptions) {
     this.#options = options;
+    this.#configs = new ConfigHistory(options.clock);
   }
 
   /** Newest revision of the source that was applied. */
@@ -74,7 +66,7 @@
   }
 
   get config(): MeshConfig | undefined {
-    return this.#config;
+    return this.#configs.newest;
   }
 
   get routes(): RouteTable | undefined {
@@ -127,7 +119,7 @@
     // Set first, so that `onChange` sees the revision that brought the change.
     this.#advanceTo(changes.revision);
     changes.intermediateConfigs?.forEach(config =>
-      this.#addRecentConfig(config),
+      this.#configs.addIntermediate(config),
     );
     this.#applyConfig(changes.config, changes.configAgeMs ?? 0);
     for (const change of changes.workers) {
@@ -174,8 +166,8 @@
     return {
       sequence: this.#sequence,
       revision: this.#fullyAppliedRevision(),
-      configAgeMs: this.#configAgeMs(),
-      ...this.#configSince(version, acceptsWhole),
+      configAgeMs: this.#configs.ageMs,
+      ...this.#configs.updateSince(version, acceptsWhole),
       workers,
       isWhole,
     };
@@ -189,10 +181,10 @@
    */
   applyUpdate(update: MeshUpdate): boolean {
     const {configDelta, isWhole, workers} = update;
-    const isNewer = (configDelta?.to ?? 0) > (this.#config?.version ?? 0);
+    const isNewer = (configDelta?.to ?? 0) > (this.config?.version ?? 0);
     const patchedConfig =
-      isNewer && this.#config
-        ? applyConfigDelta(this.#config, configDelta!)
+      isNewer && this.config
+        ? applyConfigDelta(this.config, configDelta!)
         : undefined;
     const isApplied = !isNewer || patchedConfig !== undefined;
     // If the delta was not applied, the revision stays, so that the change is fetched again.
@@ -228,28 +220,6 @@
     }
   }
 
-  #configSince(
-    version: number,
-    acceptsWhole: boolean,
-  ): Pick<MeshUpdate, 'config' | 'configDelta' | 'lacksVersion'> {
-    const config = this.#config;
-    if (!config || config.version <= version) {
-      return {lacksVersion: false};
-    }
-    const peerConfig = this.#recentConfigs.find(
-      recent => recent.version === version,
-    );
-    if (!peerConfig) {
-      return acceptsWhole
-        ? {config, lacksVersion: false}
-        : {lacksVersion: true};
-    }
-    const configDelta =
-      this.#deltas.get(version) ?? diffConfigs(peerConfig, config);
-    this.#deltas.set(version, configDelta);
-    return {configDelta, lacksVersion: false};
-  }
-
   /**
    * The newest revision up to which peers receive every change: just below the
    * oldest removal that is held back.
@@ -259,35 +229,19 @@
     return Math.min(this.#revision, oldestHeld - 1) as SourceRevision;
   }
 
-  #configAgeMs(): number {
-    const {clock} = this.#options;
-    return Math.round(clock.monotonicMs() - this.#configReceivedMs);
-  }
-
   #applyConfig(config: MeshConfig | undefined, ageMs: number): void {
-    if (!config || config.version <= (this.#config?.version ?? 0)) {
+    if (!config || !this.#configs.accept(config, ageMs)) {
       return;
     }
-    this.#config = config;
-    this.#configReceivedMs = this.#options.clock.monotonicMs() - ageMs;
-    this.#deltas.clear();
-    this.#addRecentConfig(config);
     this.#sequence++;
     this.#routes = new RouteTable(config);
     this.#options.onChange?.({
       kind: 'config',
       version: config.version,
-      ageMs: this.#configAgeMs(),
+      ageMs: this.#configs.ageMs,
     });
   }
 
-  #addRecentConfig(config: MeshConfig): void {
-    this.#recentConfigs.push(config);
-    if (this.#recentConfigs.length > MAX_RECENT_CONFIGS) {
-      this.#recentConfigs.shift();
-    }
-  }
-
   #applyWorker(change: WorkerChange): void {
     const previous = this.#byId.get(change.id);
     if (previous && previous.revision >= change.revision) {
