fix(mesh): a worker that leaves after an outage got requests for too long

Two things add up. The first call after a cut was a watch, which the store answers at its first change only or after 600 ms, and which a connection that was begun in the cut delays by up to 1.6 s; so the return was noticed when the worker left. And the time in which removals are held back (2.2 s) began at that moment instead of at the return, without regard to contactS.

The same path broke the other promise, that a worker whose entry expired in an outage stays in use until it has registered again: - an outage was measured from the first failure, so one that a single silent call covered counted as short, and nothing was held back; - the full state of a peer outside of the cut, or of one that had just started, removed the workers behind the cut at once; - a removal that is known only from a full read counted as the newest change, so a peer that took over this state never heard of it and kept the worker.

Change: RemovalDecisions, a class of its own in config/mesh, decides which removal to believe and until when. In an outage SourceFollower sends small probes on connections of their own, up to half a second apart, without waiting for the one before: the first response is the return, the last lost probe its lower bound. Removals are held until 2.2 s after the return, but never longer than contactMs (a new setting, contactS of the platform) after the lower bound, less 300 ms for requests on their way. The removal of a worker that has said that it leaves is believed at once. A peer says whether it has followed the source long enough to know all workers (isEstablished).

MeshState.startRemovalGracePeriod and the option removalGraceMs are gone; the tests that used them record an outage instead, with the same bounds.

--- a/config/mesh/src/index.ts
+++ b/config/mesh/src/index.ts
@@ -4,6 +4,7 @@
 export * from './mesh_source.js';
 export * from './mesh_state.js';
 export * from './mesh_worker.js';
+export type {RemovalOrigin} from './removal_decisions.js';
 export * from './source_revision.js';
 export * from './route_table.js';
 export type {WorkerChange} from './worker_entry.js';
--- a/config/mesh/src/mesh_changes.ts
+++ b/config/mesh/src/mesh_changes.ts
@@ -1,6 +1,7 @@
 import type {ConfigDelta} from './config_delta.js';
 import type {MeshConfig} from './mesh_config.js';
 import type {MeshWorker, WorkerId} from './mesh_worker.js';
+import type {RemovalOrigin} from './removal_decisions.js';
 import type {SourceRevision} from './source_revision.js';
 import type {WorkerChange} from './worker_entry.js';
 
@@ -43,6 +44,11 @@
   workers: readonly WorkerChange[];
   /** Whether `workers` lists every worker, not only the changed ones. */
   isWhole: boolean;
+  /**
+   * Whether the sender has followed the source long enough to know every running
+   * worker; one that has just started may lack entries that expired before.
+   */
+  isEstablished: boolean;
 }
 
 /** A single change of the state; reported to `onChange`. */
@@ -55,7 +61,7 @@
     }
   | {kind: 'worker'; worker: MeshWorker}
   | {kind: 'workerRemoved'; id: WorkerId}
-  | {kind: 'removalHeld'; id: WorkerId}
+  | {kind: 'removalHeld'; id: WorkerId; origin: RemovalOrigin}
   | {kind: 'restoredEntryIgnored'; id: WorkerId}
   /** The source was restored from an older copy. */
   | {kind: 'sourceRestored'; era: number};
--- a/config/mesh/src/mesh_source.ts
+++ b/config/mesh/src/mesh_source.ts
@@ -6,6 +6,11 @@
  * entries of all workers, and numbers each change with a revision.
  */
 export interface MeshSource {
+  /**
+   * Asks over a new connection whether the source responds; a connection that has
+   * gone silent does not delay this. Rejects when it is unreachable.
+   */
+  probe(): Promise<void>;
   /** Reads the complete state. Rejects when the source is unreachable. */
   read(): Promise<MeshSnapshot>;
   /**
--- a/config/mesh/src/mesh_state.ts
+++ b/config/mesh/src/mesh_state.ts
@@ -1,4 +1,4 @@
-import type {Clock, ServiceName} from '@carobseam/core.types';
+import type {Clock, DataCentreName, ServiceName} from '@carobseam/core.types';
 import {applyConfigDelta} from './config_delta.js';
 import {ConfigHistory} from './config_history.js';
 import type {
@@ -9,8 +9,13 @@
 } from './mesh_changes.js';
 import type {MeshConfig} from './mesh_config.js';
 import type {MeshWorker, WorkerId} from './mesh_worker.js';
+import {RemovalDecisions, type RemovalOrigin} from './removal_decisions.js';
 import {RouteTable} from './route_table.js';
-import {eraOf, type SourceRevision} from './source_revision.js';
+import {
+  eraOf,
+  firstRevisionOf,
+  type SourceRevision,
+} from './source_revision.js';
 import {
   isFromCopy,
   type WorkerChange,
@@ -22,8 +27,13 @@
 /** Options of `MeshState`. */
 export interface MeshStateOptions {
   clock: Clock;
-  /** How long removals are held back after an outage of the source, in ms. */
-  removalGraceMs: number;
+  /** Data centre of this process. */
+  dataCentre: DataCentreName;
+  /**
+   * Time after the return of the source by which workers that are gone must not
+   * be used any more, in ms.
+   */
+  contactMs: number;
   /** Called for each single change. */
   onChange?: (change: MeshStateChange) => void;
   /** Called once after a batch of changes has been applied and indexed. */
@@ -39,7 +49,7 @@
 export class MeshState {
   readonly #options: MeshStateOptions;
   readonly #byId = new Map<WorkerId, WorkerEntry>();
-  readonly #heldRemovals = new Map<WorkerId, SourceRevision>();
+  readonly #removals: RemovalDecisions;
   #revision = 0 as SourceRevision;
   #sequence = 0;
   /** Sequence number at which the workers were last indexed. */
@@ -48,11 +58,17 @@
   #routes?: RouteTable;
   #byService = new Map<ServiceName, MeshWorker[]>();
   #byAddress = new Map<string, MeshWorker>();
-  #graceUntilMs = -Infinity;
 
   constructor(options: MeshStateOptions) {
+    const {clock, dataCentre, contactMs} = options;
     this.#options = options;
-    this.#configs = new ConfigHistory(options.clock);
+    this.#configs = new ConfigHistory(clock);
+    this.#removals = new RemovalDecisions({
+      clock,
+      dataCentre,
+      contactMs,
+      onDue: () => this.#applyDueRemovals(),
+    });
   }
 
   /** Newest revision of the source that was applied. */
@@ -73,6 +89,11 @@
     return this.#routes;
   }
 
+  /** Whether workers are kept for now although their entries are missing. */
+  get holdsRemovals(): boolean {
+    return this.#removals.hasHeld;
+  }
+
   /** Workers of a service, including those that are leaving. */
   workersOf(service: ServiceName): readonly MeshWorker[] {
     return this.#byService.get(service) ?? [];
@@ -103,44 +124,38 @@
   }
 
   /**
-   * Holds removals back for the grace period. Called after an outage of the
-   * source, because the entries of running workers may have expired in it.
+   * Records that a call to the source failed.
+   *
+   * @param unavailableMs a time at which the source was unavailable or, for the
+   *     first failure, since when it may be; on the monotonic clock, in ms.
    */
-  startRemovalGracePeriod(): void {
-    this.#graceUntilMs =
-      this.#options.clock.monotonicMs() + this.#options.removalGraceMs;
-    this.#options.clock.setTimer(this.#options.removalGraceMs, () =>
-      this.#applyHeldRemovals(),
-    );
+  recordSourceFailure(unavailableMs: number): void {
+    this.#removals.recordFailure(unavailableMs);
   }
 
-  /** Applies changes; those that are older than the state are ignored. */
+  /** Records that the source responds again; its state may still be missing. */
+  recordSourceResponse(): void {
+    this.#removals.recordResponse();
+  }
+
+  /**
+   * Ends an outage of the source, if there is one, before the first state after
+   * it is applied.
+   *
+   * @return duration of the outage in ms; undefined if there was none.
+   */
+  endSourceOutage(): number | undefined {
+    return this.#removals.endOutage();
+  }
+
+  /** Applies changes of the source; those that are older than the state are ignored. */
   applyChanges(changes: MeshChanges): void {
-    // Set first, so that `onChange` sees the revision that brought the change.
-    this.#advanceTo(changes.revision);
-    changes.intermediateConfigs?.forEach(config =>
-      this.#configs.addIntermediate(config),
-    );
-    this.#applyConfig(changes.config, changes.configAgeMs ?? 0);
-    for (const change of changes.workers) {
-      this.#applyWorker(change);
-    }
-    this.#updateIndexes();
+    this.#applyChanges(changes, 'source');
   }
 
-  /** Applies a full read; entries that it lacks are removed. */
+  /** Applies a full read of the source; entries that it lacks are removed. */
   applySnapshot(snapshot: MeshSnapshot): void {
-    if (snapshot.revision < this.#revision) {
-      return;
-    }
-    this.#advanceTo(snapshot.revision);
-    const present = new Set(snapshot.workers.map(change => change.id));
-    for (const [id, entry] of this.#byId) {
-      if (entry.worker && !present.has(id)) {
-        this.#applyWorker({id, revision: snapshot.revision});
-      }
-    }
-    this.applyChanges(snapshot);
+    this.#applySnapshot(snapshot, 'source');
   }
 
   /**
@@ -170,6 +185,7 @@
       ...this.#configs.updateSince(version, acceptsWhole),
       workers,
       isWhole,
+      isEstablished: this.#removals.isEstablished,
     };
   }
 
@@ -180,7 +196,7 @@
    *     cannot be applied to the current one. Its worker changes are applied.
    */
   applyUpdate(update: MeshUpdate): boolean {
-    const {configDelta, isWhole, workers} = update;
+    const {configDelta, isWhole, isEstablished, workers} = update;
     const isNewer = (configDelta?.to ?? 0) > (this.config?.version ?? 0);
     const patchedConfig =
       isNewer && this.config
@@ -196,13 +212,47 @@
       workers,
     };
     if (isWhole) {
-      this.applySnapshot(changes);
+      this.#applySnapshot(changes, isEstablished ? 'peerState' : 'newPeer');
     } else {
-      this.applyChanges(changes);
+      this.#applyChanges(changes, 'peerChange');
     }
     return isApplied;
   }
 
+  #applyChanges(changes: MeshChanges, origin: RemovalOrigin): void {
+    // Set first, so that `onChange` sees the revision that brought the change.
+    this.#advanceTo(changes.revision);
+    changes.intermediateConfigs?.forEach(config =>
+      this.#configs.addIntermediate(config),
+    );
+    this.#applyConfig(changes.config, changes.configAgeMs ?? 0);
+    for (const change of changes.workers) {
+      this.#applyWorker(change, origin);
+    }
+    this.#removals.recordState();
+    this.#updateIndexes();
+  }
+
+  #applySnapshot(snapshot: MeshSnapshot, origin: RemovalOrigin): void {
+    if (snapshot.revision < this.#revision) {
+      return;
+    }
+    // The removals of entries that are missing happened at any time since then.
+    const precedingRevision = Math.max(
+      this.#revision,
+      firstRevisionOf(eraOf(snapshot.revision)),
+    ) as SourceRevision;
+    this.#advanceTo(snapshot.revision);
+    const present = new Set(snapshot.workers.map(change => change.id));
+    for (const [id, entry] of this.#byId) {
+      if (entry.worker && !present.has(id)) {
+        const removal = {id, revision: snapshot.revision};
+        this.#applyWorker(removal, origin, precedingRevision);
+      }
+    }
+    this.#applyChanges(snapshot, origin);
+  }
+
   #advanceTo(revision: SourceRevision): void {
     if (revision <= this.#revision) {
       return;
@@ -212,7 +262,7 @@
     this.#revision = revision;
     if (isRestored) {
       // The copy lacks the entries of workers that were registered after it.
-      this.startRemovalGracePeriod();
+      this.#removals.recordRestore();
       this.#options.onChange?.({
         kind: 'sourceRestored',
         era: eraOf(revision),
@@ -221,12 +271,12 @@
   }
 
   /**
-   * The newest revision up to which peers receive every change: just below the
-   * oldest removal that is held back.
+   * The newest revision up to which peers receive every change: before the
+   * removals that are held back.
    */
   #fullyAppliedRevision(): SourceRevision {
-    const oldestHeld = Math.min(...this.#heldRemovals.values());
-    return Math.min(this.#revision, oldestHeld - 1) as SourceRevision;
+    const precedingRevision = this.#removals.precedingRevision();
+    return Math.min(this.#revision, precedingRevision) as SourceRevision;
   }
 
   #applyConfig(config: MeshConfig | undefined, ageMs: number): void {
@@ -242,22 +292,33 @@
     });
   }
 
-  #applyWorker(change: WorkerChange): void {
-    const previous = this.#byId.get(change.id);
-    if (previous && previous.revision >= change.revision) {
+  #applyWorker(
+    change: WorkerChange,
+    origin: RemovalOrigin,
+    precedingRevision = (change.revision - 1) as SourceRevision,
+  ): void {
+    const {id, revision} = change;
+    const previous = this.#byId.get(id);
+    if (previous && previous.revision >= revision) {
       return;
     }
-    const isRemoved = !previous?.worker || this.#heldRemovals.has(change.id);
+    const isRemoved = !previous?.worker || this.#removals.isHeld(id);
     if (previous && isFromCopy(previous, change, isRemoved)) {
-      this.#options.onChange?.({kind: 'restoredEntryIgnored', id: change.id});
+      this.#options.onChange?.({kind: 'restoredEntryIgnored', id});
       return;
     }
-    if (!change.worker && previous?.worker && this.#isInGracePeriod()) {
-      this.#heldRemovals.set(change.id, change.revision);
-      this.#options.onChange?.({kind: 'removalHeld', id: change.id});
+    const isHeld =
+      !change.worker &&
+      previous?.worker !== undefined &&
+      this.#removals.keeps(previous.worker, origin);
+    if (isHeld) {
+      if (!this.#removals.isHeld(id)) {
+        this.#options.onChange?.({kind: 'removalHeld', id, origin});
+      }
+      this.#removals.hold(id, {revision, precedingRevision});
       return;
     }
-    this.#heldRemovals.delete(change.id);
+    this.#removals.release(id);
     this.#setEntry(change);
   }
 
@@ -283,18 +344,10 @@
     }
   }
 
-  #isInGracePeriod(): boolean {
-    return this.#options.clock.monotonicMs() < this.#graceUntilMs;
-  }
-
-  #applyHeldRemovals(): void {
-    if (this.#isInGracePeriod()) {
-      return;
-    }
-    for (const [id, revision] of this.#heldRemovals) {
+  #applyDueRemovals(): void {
+    for (const [id, {revision}] of this.#removals.takeDue()) {
       this.#setEntry({id, revision});
     }
-    this.#heldRemovals.clear();
     this.#updateIndexes();
   }
 
--- a/config/mesh/src/source_revision.ts
+++ b/config/mesh/src/source_revision.ts
@@ -25,6 +25,11 @@
   return Math.floor(revision / REVISIONS_PER_ERA);
 }
 
+/** The position before all changes of an era. */
+export function firstRevisionOf(era: number): SourceRevision {
+  return toSourceRevision(era, 0);
+}
+
 /** The source's own number of a revision, unique within its era. */
 export function revisionNumberOf(revision: SourceRevision): number {
   return revision % REVISIONS_PER_ERA;
--- a/config/mesh/test/mesh_fixtures.ts
+++ b/config/mesh/test/mesh_fixtures.ts
@@ -1,6 +1,7 @@
 import type {
   MeshConfig,
   MeshRoute,
+  MeshState,
   MeshWorker,
   RouteName,
   SourceRevision,
@@ -8,11 +9,29 @@
   WorkerId,
 } from '@carobseam/config.mesh';
 import type {
+  Clock,
   ConfigVersion,
   DataCentreName,
   ServiceName,
 } from '@carobseam/core.types';
 
+/** Options of a state in data centre `wien`, with the limits of the users' small sites. */
+export const stateOptions = {
+  dataCentre: 'wien' as DataCentreName,
+  contactMs: 3000,
+};
+
+/** Records an outage of the source that has just ended. */
+export function endOutage(
+  state: MeshState,
+  clock: Clock,
+  durationMs = 4000,
+): void {
+  state.recordSourceFailure(clock.monotonicMs() - durationMs);
+  state.recordSourceFailure(clock.monotonicMs());
+  state.endSourceOutage();
+}
+
 /** Returns a worker of service `desk`, with the given fields changed. */
 export function createWorker(overrides: Partial<MeshWorker> = {}): MeshWorker {
   return {
--- a/config/mesh/test/mesh_state.test.ts
+++ b/config/mesh/test/mesh_state.test.ts
@@ -16,6 +16,8 @@
   createRemoval,
   createRoute,
   createWorker,
+  endOutage,
+  stateOptions,
 } from './mesh_fixtures.js';
 
 const DESK = 'desk' as ServiceName;
@@ -25,7 +27,7 @@
   const changes: MeshStateChange[] = [];
   const state = new MeshState({
     clock,
-    removalGraceMs: 2200,
+    ...stateOptions,
     onChange: change => changes.push(change),
   });
   const apply = (
@@ -60,7 +62,7 @@
     const reportedRevisions: number[] = [];
     const state: MeshState = new MeshState({
       clock,
-      removalGraceMs: 2200,
+      ...stateOptions,
       onChange: () => reportedRevisions.push(state.revision),
     });
     state.applyChanges({
@@ -75,7 +77,7 @@
     let appliedCount = 0;
     const state = new MeshState({
       clock: new ManualClock(),
-      removalGraceMs: 2200,
+      ...stateOptions,
       onApplied: () => appliedCount++,
     });
     const revisionOf = (revision: number) => revision as SourceRevision;
@@ -140,7 +142,7 @@
   it('keeps workers whose entries expired while the source was unavailable', () => {
     const {clock, state, apply, ids} = createState();
     apply(1, createPut(createWorker(), 1));
-    state.startRemovalGracePeriod();
+    endOutage(state, clock);
     apply(2, createRemoval('i-1' as WorkerId, 2));
     expect(ids()).to.deep.equal(['i-1']);
     apply(3, createPut(createWorker(), 3));
@@ -151,7 +153,7 @@
   it('removes a worker whose entry is not back after the grace period', () => {
     const {clock, state, apply, ids} = createState();
     apply(1, createPut(createWorker(), 1));
-    state.startRemovalGracePeriod();
+    endOutage(state, clock);
     apply(2, createRemoval('i-1' as WorkerId, 2));
     clock.advance(2200);
     expect(ids()).to.deep.equal([]);
@@ -328,7 +330,7 @@
       const {sender, receiver, put, sync} = createPair();
       put(1, {workers: [createPut(createWorker(), 1)]});
       sync();
-      sender.state.startRemovalGracePeriod();
+      endOutage(sender.state, sender.clock);
       put(5, {workers: [createRemoval('i-1' as WorkerId, 4)]});
       sync();
       expect(receiver.state.revision, 'below the held removal').to.equal(3);
--- a/config/mesh/test/restored_source.test.ts
+++ b/config/mesh/test/restored_source.test.ts
@@ -17,6 +17,8 @@
   createPut,
   createRemoval,
   createWorker,
+  endOutage,
+  stateOptions,
 } from './mesh_fixtures.js';
 
 const GRACE_MS = 2200;
@@ -44,7 +46,7 @@
   const changes: MeshStateChange[] = [];
   const state = new MeshState({
     clock,
-    removalGraceMs: GRACE_MS,
+    ...stateOptions,
     onChange: change => changes.push(change),
   });
   state.applySnapshot(toChanges(1, 20, contents));
@@ -132,7 +134,7 @@
 
   it('guards against a removal that is still held back and that the copy undoes', () => {
     const {clock, state, read, watch, ids} = createState({workers: [W1, W2]});
-    state.startRemovalGracePeriod();
+    endOutage(state, clock);
     watch(1, 21, {removed: [W2.id]});
     read(2, 9, {workers: [W1, W2]});
     clock.advance(GRACE_MS + 100);
--- a/daemon/relay/src/relay.ts
+++ b/daemon/relay/src/relay.ts
@@ -46,7 +46,6 @@
 import {ShutdownSchedule} from './shutdown_schedule.js';
 import {StateChangeRecorder} from './state_change_recorder.js';
 
-const REMOVAL_GRACE_MS = 2200; // after an outage of the store, running workers are registered again within about 2 s
 const WORKER_CONNECT_TIMEOUT_MS = 500; // the worker is on the same VM
 const WORKER_IDLE_TTL_MS = 4000; // the users' workers close idle connections after 10 s
 const WORKER_MAX_IDLE_CONNECTIONS = 40; // a third of the connections that a worker accepts
@@ -110,7 +109,8 @@
     this.#shutdown = new ShutdownSchedule(clock, settings.graceS * 1000);
     this.#state = new MeshState({
       clock,
-      removalGraceMs: REMOVAL_GRACE_MS,
+      dataCentre: settings.dataCentre,
+      contactMs: settings.contactMs,
       onChange: change => this.#handleStateChange(change),
       onApplied: () => this.#handleStateApplied(),
     });
--- a/daemon/relay/src/state_change_recorder.ts
+++ b/daemon/relay/src/state_change_recorder.ts
@@ -28,7 +28,7 @@
     },
   ],
   workerRemoved: ({id}) => ['worker_removed', {worker: id}],
-  removalHeld: ({id}) => ['removal_held', {worker: id}],
+  removalHeld: ({id, origin}) => ['removal_held', {worker: id, origin}],
   restoredEntryIgnored: ({id}) => ['restored_entry_ignored', {worker: id}],
   sourceRestored: ({era}) => ['source_restored', {era}],
 };
--- a/daemon/relay/test/following_data_centre.ts
+++ b/daemon/relay/test/following_data_centre.ts
@@ -30,7 +30,7 @@
 const CONTROL_PORT = 9;
 const LOCAL = 'wien' as DataCentreName;
 const REMOTE = 'linz' as DataCentreName;
-const REMOVAL_GRACE_MS = 2200;
+const CONTACT_MS = 3000;
 const CHECK_INTERVAL_MS = 20;
 
 /** Options of `FollowingDataCentre`. */
@@ -185,6 +185,8 @@
     const clock = new SystemClock();
     const random = new SeededRandom(relay + 1);
     const isWide = !this.#isThin(relay);
+    const {wideCount, thinCount} = this.#options;
+    const ownDataCentre = relay < wideCount + thinCount ? LOCAL : REMOTE;
     const link = new ThinLink(isWide ? Infinity : this.#options.thinBytesPerS);
     const ownAddress = controlAddressOf(relay);
     const client = new FeedClient();
@@ -202,12 +204,11 @@
       );
     const state = new MeshState({
       clock,
-      removalGraceMs: REMOVAL_GRACE_MS,
+      dataCentre: ownDataCentre,
+      contactMs: CONTACT_MS,
       onApplied: () => feed.notifyStateChanged(),
     });
     const feed: ChangeFeed = new ChangeFeed({clock, random, state});
-    const {wideCount, thinCount} = this.#options;
-    const ownDataCentre = relay < wideCount + thinCount ? LOCAL : REMOTE;
     const listPeers = (isLocal: boolean) =>
       [...state.workers()]
         .filter(worker => (worker.dataCentre === ownDataCentre) === isLocal)
--- a/daemon/relay/test/relay_fixtures.ts
+++ b/daemon/relay/test/relay_fixtures.ts
@@ -103,6 +103,10 @@
     this.#snapshot = snapshot;
   }
 
+  probe(): Promise<void> {
+    return Promise.resolve();
+  }
+
   read(): Promise<MeshSnapshot> {
     return Promise.resolve(this.#snapshot);
   }
@@ -217,6 +221,7 @@
       linkMbps: 1000,
       graceS: 4,
       drainMs: 2000,
+      contactMs: 3000,
       retryBudgetRatio: 0.2,
       retryBudgetSlack: 64,
     },
--- a/daemon/relay/test/stopped_relay.ts
+++ b/daemon/relay/test/stopped_relay.ts
@@ -77,7 +77,7 @@
       controlAddress: `${hosts[index]}:${ports[3]}`,
       metricsPort: ports[4],
       ...{seedAddresses: [], storeAddress, linkMbps: 1000},
-      ...{graceS: GRACE_S, drainMs: 2000},
+      ...{graceS: GRACE_S, drainMs: 2000, contactMs: 3000},
       ...{retryBudgetRatio: 0.2, retryBudgetSlack: 64},
     }),
   );
--- a/fleet/follower/src/source_follower.ts
+++ b/fleet/follower/src/source_follower.ts
@@ -10,9 +10,10 @@
 const MIN_PAUSE_MS = 20; // the freshness of readers is checked no more often
 const CATCH_UP_MS = 2000; // covers several changes of a burst; a watch then shows whether the burst is over
 const BATCH_MS = 350; // changes within this time share one call; well below the limits of 2 s for a change
-const FIRST_RETRY_MS = 60; // a few times the response time of the source
-const MAX_RETRY_MS = 500; // two attempts within a limit of 2 s
-const MIN_OUTAGE_MS = 700; // no entry can expire during a shorter outage
+const SHORT_BATCH_MS = 100; // while workers whose entries are missing may register again
+const FIRST_PROBE_MS = 60; // a few times the response time of the source
+const MAX_PROBE_INTERVAL_MS = 500; // two probes in the second that the shortest limits leave beyond the time in which workers register again
+const SILENCE_MS = 500; // later than the response of a source that is 90 times slower than its usual 4 ms
 const PEER_INTERVAL_MS = 300; // several rounds within the limit for an unstable source
 const PEERS_PER_ROUND = 2; // one of them may have lost the source too
 
@@ -44,6 +45,14 @@
   onCall?: (outcome: 'ok' | 'failed') => void;
 }
 
+/** The probes that look for the end of an outage. */
+interface ProbeSearch {
+  /** Whether a probe had a response, or none is needed any more. */
+  isOver: boolean;
+  /** When the probes without an outcome were sent, in ms. */
+  readonly pendingSinceMs: Set<number>;
+}
+
 /**
  * Keeps the state up to date with the source by one full read and then
  * watches. Makes no calls while the readers of the data centre send the changes
@@ -62,13 +71,17 @@
   #isHistoryLost = false;
   /** Whether the source responded to the last call; false while readers are followed. */
   #hasSourceContact = false;
+  /** Time of the last response of the source, or at which readers were fresh. */
+  #lastContactMs: number;
+  #callStartMs = 0;
+  #callWaitMs = 0;
   #failureCount = 0;
-  #failingSinceMs = 0;
   #peerRoundTimer?: Timer;
   #wakeUp?: () => void;
 
   constructor(options: SourceFollowerOptions) {
     this.#options = options;
+    this.#lastContactMs = options.clock.monotonicMs();
   }
 
   /**
@@ -112,7 +125,8 @@
         await this.#readOrWatch();
         this.#options.onCall?.('ok');
       } catch (error) {
-        await this.#handleFailure(error);
+        this.#handleFailure(error);
+        await this.#probeUntilResponse();
       }
     }
   }
@@ -169,7 +183,9 @@
 
   async #readOrWatch(): Promise<void> {
     const {source, state, logger, readers, clock} = this.#options;
+    this.#callStartMs = clock.monotonicMs();
     if (this.#needsFullRead) {
+      this.#callWaitMs = 0;
       const snapshot = await source.read();
       this.#endOutage();
       this.#mayFindReader = state.config === undefined;
@@ -181,8 +197,8 @@
       }
       return;
     }
-    const waitMs = readers.isReader ? READER_WAIT_MS : WATCH_WAIT_MS;
-    const changes = await source.watch(state.revision, waitMs);
+    this.#callWaitMs = readers.isReader ? READER_WAIT_MS : WATCH_WAIT_MS;
+    const changes = await source.watch(state.revision, this.#callWaitMs);
     this.#endOutage();
     if (!changes) {
       const isRepeated = this.#isHistoryLost;
@@ -210,7 +226,7 @@
       this.#needsFullRead = true;
     }
     if (changes.config || changes.workers.length > 0) {
-      await this.#sleep(BATCH_MS);
+      await this.#sleep(state.holdsRemovals ? SHORT_BATCH_MS : BATCH_MS);
     }
   }
 
@@ -221,45 +237,101 @@
 
   /** Ends an outage, if there is one: the source responds again, or the state from readers is fresh. */
   #endOutage(): void {
+    const {clock, logger, state} = this.#options;
+    this.#lastContactMs = clock.monotonicMs();
     if (this.#failureCount === 0) {
       return;
     }
-    const outageMs = this.#options.clock.monotonicMs() - this.#failingSinceMs;
     this.#failureCount = 0;
     this.#peerRoundTimer?.cancel();
     this.#peerRoundTimer = undefined;
-    if (outageMs >= MIN_OUTAGE_MS) {
-      this.#options.state.startRemovalGracePeriod();
-    }
-    this.#options.logger.info('source_regained', {
-      awayMs: Math.round(outageMs),
-      revision: this.#options.state.revision,
+    logger.info('source_regained', {
+      awayMs: Math.round(state.endSourceOutage() ?? 0),
+      revision: state.revision,
     });
   }
 
-  async #handleFailure(error: unknown): Promise<void> {
+  #handleFailure(error: unknown): void {
     if (this.#isClosed) {
       return;
     }
-    this.#options.onCall?.('failed');
+    const {clock, logger, onCall, state} = this.#options;
+    onCall?.('failed');
     this.#hasSourceContact = false;
     this.#failureCount++;
-    if (this.#failureCount === 1) {
-      this.#failingSinceMs = this.#options.clock.monotonicMs();
-      this.#options.logger.warn('source_lost', {
-        cause: error instanceof Error ? error.message : String(error),
-        revision: this.#options.state.revision,
-        outcome: 'asks peers',
-      });
-      this.#peerRoundTimer = this.#options.clock.setTimer(0, () =>
-        this.#pollPeers(),
+    state.recordSourceFailure(this.#unavailableSinceMs());
+    if (this.#failureCount > 1) {
+      return;
+    }
+    logger.warn('source_lost', {
+      cause: error instanceof Error ? error.message : String(error),
+      revision: state.revision,
+      contactAgeMs: Math.round(clock.monotonicMs() - this.#lastContactMs),
+      outcome: 'probes the source and asks peers',
+    });
+    this.#peerRoundTimer = clock.setTimer(0, () => this.#pollPeers());
+  }
+
+  /**
+   * Since when the source may have been unavailable, when a call has just failed:
+   * since the last contact if it was silent, as the connection may have gone
+   * silent at any time since then.
+   */
+  #unavailableSinceMs(): number {
+    const nowMs = this.#options.clock.monotonicMs();
+    const limitMs = this.#callStartMs + this.#callWaitMs + SILENCE_MS;
+    return nowMs > limitMs ? this.#lastContactMs : nowMs;
+  }
+
+  /**
+   * Probes the source until it responds or readers are followed. Does not wait
+   * for the outcome of one probe before the next one: a connection that was
+   * begun in a cut may stay silent for seconds after its end.
+   */
+  async #probeUntilResponse(): Promise<void> {
+    const {random, readers} = this.#options;
+    const search: ProbeSearch = {isOver: false, pendingSinceMs: new Set()};
+    for (let count = this.#failureCount; !search.isOver; count++) {
+      const intervalMs = Math.min(
+        MAX_PROBE_INTERVAL_MS,
+        FIRST_PROBE_MS * 2 ** (count - 1),
       );
+      await this.#sleep(intervalMs * (0.5 + random.nextFloat() / 2));
+      if (this.#isClosed || readers.freshForMs > 0) {
+        search.isOver = true;
+      } else if (!search.isOver) {
+        void this.#probe(search);
+      }
     }
-    const delayMs = Math.min(
-      MAX_RETRY_MS,
-      FIRST_RETRY_MS * 2 ** (this.#failureCount - 1),
-    );
-    await this.#sleep(delayMs * (0.5 + this.#options.random.nextFloat() / 2));
+  }
+
+  async #probe(search: ProbeSearch): Promise<void> {
+    const {clock, onCall, source, state} = this.#options;
+    const {pendingSinceMs} = search;
+    const startMs = clock.monotonicMs();
+    pendingSinceMs.add(startMs);
+    let hasResponse = false;
+    try {
+      await source.probe();
+      hasResponse = true;
+    } catch {
+      // Not logged: `source_lost` told the cause, and the call is counted.
+    }
+    onCall?.(hasResponse ? 'ok' : 'failed');
+    if (search.isOver) {
+      return;
+    }
+    pendingSinceMs.delete(startMs);
+    if (!hasResponse) {
+      state.recordSourceFailure(startMs);
+      return;
+    }
+    search.isOver = true;
+    // Earlier probes that are still pending were lost.
+    const lostMs = [...pendingSinceMs].filter(sinceMs => sinceMs < startMs);
+    lostMs.forEach(sinceMs => state.recordSourceFailure(sinceMs));
+    state.recordSourceResponse();
+    this.#wakeUp?.();
   }
 
   #pollPeers(): void {
--- a/fleet/follower/test/feed_encoder.test.ts
+++ b/fleet/follower/test/feed_encoder.test.ts
@@ -82,6 +82,7 @@
     lacksVersion: false,
     workers: [],
     isWhole: false,
+    isEstablished: true,
     run: 'a',
     isReader: true,
     readers: [],
--- a/fleet/follower/test/reader_follower.test.ts
+++ b/fleet/follower/test/reader_follower.test.ts
@@ -70,6 +70,10 @@
       };
     };
     return {
+      probe: async () => {
+        this.calls[relay]!++;
+        await respond();
+      },
       read: async () => {
         this.calls[relay]!++;
         this.reads[relay]!++;
@@ -160,7 +164,8 @@
   const relays = workers.map((_, relay) => {
     const state = new MeshState({
       clock,
-      removalGraceMs: 2200,
+      dataCentre: 'wien' as DataCentreName,
+      contactMs: 3000,
       onApplied: () => feed.notifyStateChanged(),
     });
     const random = new SeededRandom(relay + 1);
--- a/fleet/follower/test/source_follower.test.ts
+++ b/fleet/follower/test/source_follower.test.ts
@@ -8,7 +8,7 @@
 } from '@carobseam/config.mesh';
 import {ManualClock, SeededRandom} from '@carobseam/core.clock';
 import {silentLogger} from '@carobseam/core.logger';
-import type {ConfigVersion} from '@carobseam/core.types';
+import type {ConfigVersion, DataCentreName} from '@carobseam/core.types';
 import {SourceFollower} from '@carobseam/fleet.follower';
 import {expect} from 'chai';
 
@@ -17,6 +17,7 @@
 /** A source whose responses a test defines one by one; then it never responds. */
 class ScriptedSource implements MeshSource {
   reads = 0;
+  probes = 0;
   watches: number[] = [];
   #responses: ScriptedResponse[];
 
@@ -24,6 +25,14 @@
     this.#responses = responses;
   }
 
+  /** Uses up the next response if it is a failure, and succeeds otherwise. */
+  async probe(): Promise<void> {
+    this.probes++;
+    if (this.#responses[0] === failure) {
+      await this.#respond();
+    }
+  }
+
   async read(): Promise<MeshSnapshot> {
     this.reads++;
     return (await this.#respond()) as MeshSnapshot;
@@ -72,7 +81,11 @@
   hasLowBandwidthLink = false,
 ) {
   const clock = new ManualClock();
-  const state = new MeshState({clock, removalGraceMs: 2200});
+  const state = new MeshState({
+    clock,
+    dataCentre: 'wien' as DataCentreName,
+    contactMs: 3000,
+  });
   const source = new ScriptedSource(responses);
   const polledPeers: string[] = [];
   const follower = new SourceFollower({
@@ -93,6 +106,7 @@
         sequence: 1,
         isWhole: true,
         lacksVersion: false,
+        isEstablished: true,
         run: 'a',
         isReader: false,
         readers: [],
--- a/testing/soak/src/soak_faults.ts
+++ b/testing/soak/src/soak_faults.ts
@@ -3,6 +3,7 @@
 import type {LinkMood} from './fault_proxy.js';
 import type {LeavingCallers} from './leaving_callers.js';
 import {
+  CONTACT_MS,
   DRAIN_MS,
   GRACE_MS,
   isCalmSince,
@@ -24,7 +25,6 @@
 const RELOADS = 4;
 const MAX_RELOAD_GAP_MS = 400;
 const LAPSE_MS = 4500; // three missed reports of a worker
-const CONTACT_MS = 3000; // bounds hold for relays that were calm for as long
 const SERVE_ON_MS = 400; // a drained worker serves a little longer than it must
 const TOLD_MS = 500; // from which a VM that passed on a limit must keep to it
 const LIMIT_WINDOW_MS = 4000;
--- a/testing/soak/src/soak_mesh.ts
+++ b/testing/soak/src/soak_mesh.ts
@@ -44,6 +44,8 @@
 export const GRACE_MS = 6000;
 /** Time after which a leaving worker must get nothing, in ms. */
 export const DRAIN_MS = 2500;
+/** Bounds hold for relays that were calm for as long, in ms. */
+export const CONTACT_MS = 3000;
 
 /** One VM: a relay process, its worker, and the proxies on its links. */
 export interface SoakVm {
@@ -251,6 +253,7 @@
       linkMbps: index < 2 ? WIDE_MBPS : THIN_MBPS,
       graceS: GRACE_MS / 1000,
       drainMs: DRAIN_MS,
+      contactMs: CONTACT_MS,
       ...retryBudget,
     };
     const file = path.join(this.logDir, `relay-${index}.yaml`);
