--- a/config/mesh/src/mesh_state.ts
+++ b/config/mesh/src/mesh_state.ts
@@ -237,7 +237,7 @@
     if (snapshot.revision < this.#revision) {
       return;
     }
-    // The removals of entries that are missing happened at any time since then.
+    // The missing entries were removed at some time after this revision.
     const precedingRevision = Math.max(
       this.#revision,
       firstRevisionOf(eraOf(snapshot.revision)),
--- a/config/mesh/src/removal_decisions.ts
+++ b/config/mesh/src/removal_decisions.ts
@@ -19,8 +19,8 @@
 export interface HeldRemoval {
   revision: SourceRevision;
   /**
-   * Newest revision before which the removal did not happen: peers that get this
-   * state must read the later changes elsewhere.
+   * The removal happened after this revision. Peers that take over the state,
+   * which still has the worker, must read all later changes themselves.
    */
   precedingRevision: SourceRevision;
 }
@@ -55,7 +55,7 @@
   #returnedMs = -Infinity;
   /** The source returned from its last outage no earlier than this. */
   #returnedAfterMs = -Infinity;
-  /** By this time, workers have registered again after the last outage. */
+  /** Workers that run have registered again by this time after the last outage. */
   #registeredByMs = -Infinity;
   #firstStateMs = Infinity;
   #lastStateMs = -Infinity;
@@ -154,6 +154,7 @@
     this.#schedule();
   }
 
+  /** Whether any removal is held back. */
   get hasHeld(): boolean {
     return this.#held.size > 0;
   }
@@ -167,7 +168,7 @@
     this.#held.delete(id);
   }
 
-  /** Newest revision before all removals that are held back; Infinity without any. */
+  /** A revision before all removals that are held back; Infinity without any. */
   precedingRevision(): number {
     const held = [...this.#held.values()];
     return Math.min(...held.map(removal => removal.precedingRevision));
--- a/fleet/follower/src/source_follower.ts
+++ b/fleet/follower/src/source_follower.ts
@@ -12,7 +12,7 @@
 const BATCH_MS = 350; // changes within this time share one call; well below the limits of 2 s for a change
 const SHORT_BATCH_MS = 100; // while workers whose entries are missing may register again
 const FIRST_PROBE_MS = 60; // a few times the response time of the source
-const MAX_PROBE_INTERVAL_MS = 500; // two probes in the second that the shortest limits leave beyond the time in which workers register again
+const MAX_PROBE_INTERVAL_MS = 500; // two probes a second; the shortest limits leave 1 s beyond the time that workers need to register again
 const SILENCE_MS = 500; // later than the response of a source that is 90 times slower than its usual 4 ms
 const PEER_INTERVAL_MS = 300; // several rounds within the limit for an unstable source
 const PEERS_PER_ROUND = 2; // one of them may have lost the source too
@@ -74,6 +74,7 @@
   /** Time of the last response of the source, or at which readers were fresh. */
   #lastContactMs: number;
   #callStartMs = 0;
+  /** How long the source may wait for a change before it responds to the call. */
   #callWaitMs = 0;
   #failureCount = 0;
   #peerRoundTimer?: Timer;
